--- /dev/null
+++ b/fernyard/decide.py
@@ -0,0 +1,565 @@
+"""Every decision of a gatekeeper.
+
+Called as `Gatekeeper().step(now, happening)`, which returns the orders to carry out, in their order; the first
+happening is `Launched`. The types of both stand in `fernyard/interface.py`; times are whole tenths of a
+millisecond. An instance shares nothing with any other and draws its chance from its own seed.
+
+The quota is the Sliding Window-Fixed Rate estimate of docs/design.md: one add a req to the customer's current
+bucket on the shared counter, previous bucket x overlap + total returned against the limit. Each departure says
+in its comment what it guards against, what else it covers and when it does harm.
+"""
+
+from collections import deque
+from math import exp
+from random import Random
+
+from .interface import (NEVER_RAN, Abort, Add, Arrived, Counted, Deny, Dispatch, End, Ended, Follow, Group,
+                        Heard, Launched, Left, News, Phase, Probed, Repeat, Roster, Streaming, Wake, Woke)
+
+SECOND = 10_000
+COUNT, PLACE, OUTCOME = "count", "place", "outcome"   # what the path of a req waits for
+
+# The quota: bucket length and limit in bursts, and how long a name is kept on the counter.
+BUCKET_BURSTS, LIMIT_BURSTS = 1.0, 1.0
+LONGEST_KEEP = 60 * SECOND
+SHORTEST_BUCKET, LONGEST_BUCKET = SECOND // 2, 20 * SECOND
+# The counter: calls failed in a row until it is not waited for, and the gap between trial calls.
+BLIND_AFTER, TRIAL_GAP, LONGEST_TRIAL_GAP = 3, SECOND // 10, SECOND
+ASKED_AT_LEAST = 0.8                                  # of the reqs, before one may be denied without a call
+WELL_OVER = 1.1                                       # times the limit: seen this far over, no call is needed
+# Workers: places at first and at most; failures in a row that bench one and for how long.
+FIRST_PLACES, MOST_PLACES = 2.0, 16.0
+BENCH_AFTER, BENCH, LONGEST_BENCH = 3, SECOND // 2, 4 * SECOND
+SLOW_TAU, WORK_TAU, PACE_TAU = 3 * SECOND, 15 * SECOND, 5 * SECOND
+FAILED_AS = 4.0                                       # a failure weighs as an answer this many times too slow
+QUICK, SLOW = 0.5, 0.8                                # shares of the response target that move the places
+ELSEWHERE = 1.1                                       # what a worker in another zone must be better by
+COLD_GAIN = 1.2                                       # work for a cold worker, beside its share of a warm one's
+LAST_START = 1.2                                      # usual answer times that must be left to begin a req
+TIDY = 10 * SECOND
+IDLE = 70 * SECOND                                    # beyond any bucket kept and any ceiling filled
+
+
+class Fade:
+    """A sum that decays over `tau`, brought up to date when it is read."""
+
+    __slots__ = ("tau", "sum", "at")
+
+    def __init__(self, tau, now, start=0.0):
+        self.tau, self.at, self.sum = tau, now, start
+
+    def read(self, now):
+        if now > self.at:
+            self.sum *= exp((self.at - now) / self.tau)
+            self.at = now
+        return self.sum
+
+    def add(self, now, amount):
+        self.sum = self.read(now) + amount
+
+
+class Tally:
+    """What is known of one customer's two buckets: by rate, or of dispatches out."""
+
+    __slots__ = ("by_open", "length", "limit", "bucket", "total", "own", "was", "was_own", "was_known", "share")
+
+    def __init__(self, by_open, length, limit, doors):
+        self.by_open, self.length, self.limit, self.share = by_open, length, limit, 1.0 / doors
+        self.bucket, self.total, self.own = -2, 0.0, 0.0
+        self.was, self.was_own, self.was_known = 0.0, 0.0, False
+
+    def roll(self, now):
+        bucket = now // self.length
+        if bucket == self.bucket:
+            return
+        if self.total > 0:
+            # The part of the customer's traffic that comes through here, for when the counter is silent.
+            self.share += 0.3 * (min(1.0, self.own / self.total) - self.share)
+        last = bucket == self.bucket + 1
+        self.was, self.was_own = (self.total, self.own) if last else (0.0, 0.0)
+        self.was_known, self.bucket, self.total, self.own = False, bucket, 0.0, 0.0
+
+    def overlap(self, now):
+        return 1.0 if self.by_open else 1.0 - (now % self.length) / self.length
+
+    def told(self, bucket, total):
+        """A total came back; one below our own standing units shows that the counter lost counts."""
+        if bucket == self.bucket:
+            self.total = max(total, self.own)
+        elif bucket == self.bucket - 1:
+            self.was, self.was_known = max(total, self.was_own), True
+
+    def put(self, bucket, units):
+        if bucket == self.bucket:
+            self.own = max(0.0, self.own + units)
+        elif bucket == self.bucket - 1:
+            self.was_own = max(0.0, self.was_own + units)
+
+
+class Customer:
+    __slots__ = ("id", "plan", "doors", "tallies", "store", "store_at", "promised", "reqs", "seen")
+
+
+class Req:
+    __slots__ = ("id", "frontend", "customer", "units", "left_at", "target_at", "path", "waits", "counted", "over",
+                 "sent", "out", "first_ran", "group", "closed", "streams", "avoid", "drew", "order")
+
+
+class Worker:
+    __slots__ = ("id", "cell", "zone", "started", "ready", "out", "places", "run", "benched", "slow_sum", "slow_n",
+                 "pace", "credit", "credit_at")
+
+
+class Gatekeeper:
+    def step(self, now, told):
+        self.now, self.orders = now, []
+        HEAR[type(told)](self, told)
+        if self.line:
+            self._serve_line()
+        return self.orders
+
+    # The path of a req -------------------------------------------------------------------------------------
+
+    def _path(self, req):
+        """The ordinary path of a req, top to bottom; it yields while it waits."""
+        customer, frontend = req.customer, self.set.frontends[req.frontend]
+        if self._ceiling(customer) - customer.promised < req.units:
+            return self._deny(req)
+        customer.promised += req.units
+        for tally in customer.tallies:
+            tally.roll(self.now)
+            if self._surely_over(tally, req.units):
+                return self._deny(req, self._return_in(tally, req.units))
+            units = 1.0 if tally.by_open else req.units
+            waited_for = self._ask(req, customer, tally, units)
+            told = (yield COUNT) if waited_for else None
+            if told is not None and told.end is End.PASSED:
+                bucket = self.now // tally.length
+                known = tally.was_known if not tally.by_open else tally.was == 0 and tally.was_known
+                if not known and self._estimate(tally, max(tally.was, tally.limit)) > tally.limit:
+                    self._call(self._name(customer, tally, bucket - 1), 0.0, req, customer, tally, bucket - 1)
+                    yield COUNT
+                over = self._estimate(tally) > tally.limit
+            else:
+                over = self._own_estimate(tally) > max(tally.share, 1.0 / customer.doors) * tally.limit
+            req.over = max(req.over, self._estimate(tally) / tally.limit)
+            if over:
+                return self._deny(req, self._return_in(tally, units))
+        while True:
+            worker = yield PLACE
+            if worker is None:
+                return self._give_up(req)
+            if not req.sent:
+                customer.promised -= req.units
+                customer.store -= req.units
+                req.drew = True
+            self._dispatch(req, worker)
+            ended = yield OUTCOME
+            if ended.end is End.PASSED:
+                return None
+            if not self._may_go_again(req, frontend):
+                return self._give_up(req)
+
+    def _may_go_again(self, req, frontend):
+        if len(req.sent) >= self.set.max_dispatches or req.streams or self.now >= req.left_at:
+            return False
+        if not req.first_ran or frontend.repeat is Repeat.REPLAYABLE:
+            return True
+        return frontend.repeat is Repeat.UNIQUED and self.now < req.first_ran[1] + frontend.window
+
+    def _give_up(self, req):
+        """Answer at once. A denial says that trying again is harmless, so a dispatch may have run only if
+        repeats are harmless too."""
+        if not req.first_ran or self.set.frontends[req.frontend].repeat is Repeat.REPLAYABLE:
+            return self._deny(req, min(self.set.longest_return, SECOND // 2))
+        self.orders.append(Abort(req.id))
+        return self._close(req)
+
+    def _deny(self, req, return_in=0):
+        self.orders.append(Deny(req.id, max(0, min(self.set.longest_return, return_in))))
+        return self._close(req)
+
+    # The counter -------------------------------------------------------------------------------------------
+
+    def _name(self, customer, tally, bucket):
+        return customer.id | (((bucket * 2 + tally.by_open) & 0x3FFFFFFF) << 33)
+
+    def _estimate(self, tally, was=None):
+        return (tally.was if was is None else was) * tally.overlap(self.now) + tally.total
+
+    def _own_estimate(self, tally):
+        return tally.was_own * tally.overlap(self.now) + tally.own
+
+    def _surely_over(self, tally, units):
+        """Denial without a call for a customer just seen well over: spares a counter that refused clients
+        crowd. Harms when a total held units about to be taken back, hence the margin and the asked share."""
+        if tally.by_open or self._estimate(tally) + units <= WELL_OVER * tally.limit:
+            return False
+        return self.asks.read(self.now) > ASKED_AT_LEAST * self.arrivals.read(self.now)
+
+    def _return_in(self, tally, units):
+        """When the estimate will have room again, if nothing more comes."""
+        if tally.by_open:
+            return SECOND // 5
+        rest = tally.length - self.now % tally.length
+        spare = tally.limit - units - tally.total
+        if spare < 0:
+            return rest
+        return int(max(0.0, rest - spare / tally.was * tally.length)) if tally.was > 0 else 0
+
+    def _ask(self, req, customer, tally, units):
+        """Add the req's units to its bucket. False: decide now, on own counts (see `_counted`)."""
+        bucket = self.now // tally.length
+        name = self._name(customer, tally, bucket)
+        tally.put(bucket, units)
+        req.counted.append((customer, tally, bucket, units))
+        if not self.set.may_count:
+            return False
+        if self.silent >= BLIND_AFTER:
+            if self.now < self.trial_at:
+                self.owed[name] = self.owed.get(name, 0.0) + units
+                return False
+            self.trial_gap = min(2 * self.trial_gap, LONGEST_TRIAL_GAP)
+            self.trial_at = self.now + self.trial_gap
+            req = None
+        self.asks.add(self.now, 1.0)
+        self._call(name, units, req, customer, tally, bucket)
+        return req is not None
+
+    def _call(self, name, units, req, customer, tally, bucket):
+        units += self.owed.pop(name, 0.0)
+        self.calls.setdefault(name, deque()).append((req, customer, tally, bucket, units))
+        self.orders.append(Add(name, units, min(LONGEST_KEEP, 3 * tally.length + SECOND)))
+
+    def _take_back(self, req):
+        """Units of a req never sent, and the dispatch of one that has ended, go off the name they went on."""
+        for customer, tally, bucket, units in req.counted:
+            name = self._name(customer, tally, bucket)
+            tally.put(bucket, -units)
+            if bucket == tally.bucket:
+                tally.total = max(tally.own, tally.total - units)
+            if not self.set.may_count or (bucket + 3) * tally.length < self.now:
+                self.owed.pop(name, None)
+            elif name in self.owed or self.silent >= BLIND_AFTER:
+                self.owed[name] = self.owed.get(name, 0.0) - units
+            else:
+                self._call(name, -units, None, customer, tally, bucket)
+        req.counted = []
+
+    def _counted(self, told):
+        """A silent, refusing or slow counter stalls every req: after a few calls failed in a row none waits
+        any more; the same estimate is made on own counts against our share of the limit, and a trial call
+        now and then finds the counter back. Also covers a lost link to it. Harms a customer whose traffic
+        has just moved here, until the share is learned."""
+        pending = self.calls[told.name]
+        req, customer, tally, bucket, units = pending.popleft()
+        if not pending:
+            del self.calls[told.name]
+        if told.end is End.PASSED:
+            self.silent, self.trial_gap = 0, TRIAL_GAP
+            tally.told(bucket, told.total)
+            if self.owed and told.name not in self.owed:
+                name = next(iter(self.owed))
+                if name not in self.calls:
+                    owed = self.owed.pop(name)
+                    self.calls[name] = deque([(None, customer, tally, -9, owed)])
+                    self.orders.append(Add(name, owed, LONGEST_KEEP // 2))
+        else:
+            self.silent += 1
+            if self.silent == BLIND_AFTER:
+                self.trial_at = self.now + self.trial_gap
+            if told.end in NEVER_RAN and units:
+                self.owed[told.name] = self.owed.get(told.name, 0.0) + units
+        if req is not None and not req.closed and req.waits == COUNT:
+            self._resume(req, told)
+
+    # The ceiling -------------------------------------------------------------------------------------------
+
+    def _ceiling(self, customer):
+        """Our share of the customer's hard ceiling. It fills from launch, so that a restart never grants a
+        second depth, and asks nobody, so that it holds whatever the counter does. Harms a customer that
+        comes through one gatekeeper only: it has that one's share."""
+        plan = self.set.plans[customer.plan]
+        if not plan.ceiling_rate:
+            return float("inf")
+        filled = (self.now - customer.store_at) * plan.ceiling_rate / customer.doors / SECOND
+        customer.store = min(plan.ceiling_depth / customer.doors, customer.store + filled)
+        customer.store_at = self.now
+        return customer.store
+
+    # The line and the workers ------------------------------------------------------------------------------
+
+    def _serve_line(self):
+        """Whenever a place is free the next piece gets it: customers that use least of their quota first."""
+        workers = [w for w in self.workers.values() if w.ready]
+        benched = sum(w.benched > self.now for w in workers)
+        # When most workers fail the trouble is not theirs: nobody is benched.
+        free = [w for w in workers if self._has_place(w, benched * 2 > len(workers))]
+        self.line.sort(key=lambda req: req.order)
+        for req in list(self.line):
+            if not free:
+                return
+            fit = [w for w in free if not req.group or self._in_group(w, req)]
+            if not fit:
+                continue
+            best = min(fit, key=lambda w: self._cost(w) * (2.0 if w.id in req.avoid else 1.0))
+            self.line.remove(req)
+            self._resume(req, best)
+            if not self._has_place(best, benched * 2 > len(workers)):
+                free.remove(best)
+
+    def _in_group(self, worker, req):
+        group, place = req.group
+        return group is Group.ALL or place == (worker.zone if group is Group.ZONE else worker.cell)
+
+    def _has_place(self, worker, all_fail):
+        if worker.benched > self.now and not all_fail:
+            return False
+        if worker.started and self.now - worker.started < self.set.warm_up:
+            return worker.out < worker.places and self._cold_credit(worker) > 0
+        return worker.out < (1 if worker.run >= BENCH_AFTER else worker.places)
+
+    def _cold_credit(self, worker):
+        """A cold worker earns work at its cold share of what a warm one gets from here, and starts with none:
+        all gatekeepers together then stay under what it can do without knowing of each other. Also covers
+        a worker that restarts again and again. Harms when most workers are cold at once: see the floor."""
+        warm = [w for w in self.workers.values() if w.ready
+                and (not w.started or self.now - w.started >= self.set.warm_up)]
+        if not warm:
+            return 1.0 if worker.out < 1 else 0.0
+        pace = sum(w.pace.read(self.now) for w in warm) / len(warm) / PACE_TAU
+        share = self.set.cold_share + (1 - self.set.cold_share) * (self.now - worker.started) / self.set.warm_up
+        worker.credit = min(worker.credit + COLD_GAIN * share * pace * (self.now - worker.credit_at),
+                            max(n.read(self.now) / max(d.read(self.now), 1e-9) for n, d in self.usual))
+        worker.credit_at = self.now
+        return worker.credit
+
+    def _cost(self, worker):
+        slow = (worker.slow_sum.read(self.now) + 1.0) / (worker.slow_n.read(self.now) + 1.0)
+        away = ELSEWHERE if worker.zone != self.set.zone else 1.0
+        return slow * (worker.out + 1.0) * away * (1.0 + 0.05 * self.random.random())
+
+    def _usual(self, frontend):
+        total, n = self.usual[frontend]
+        return total.read(self.now) / max(n.read(self.now), 1e-9)
+
+    def _dispatch(self, req, worker):
+        work = self._usual(req.frontend)
+        worker.out += 1
+        worker.pace.add(self.now, work)
+        worker.credit -= work
+        req.out[len(req.sent)] = worker
+        req.sent.append(self.now)
+        self.orders.append(Dispatch(req.id, worker.id, max(1, req.left_at - self.now)))
+
+    def _ended(self, told):
+        """Books the outcome of a dispatch, whether its req is still open or not."""
+        req = self.reqs.get(told.req)
+        if req is None:
+            return
+        worker = req.out.pop(told.dispatch, None)
+        if worker is not None:
+            worker.out -= 1
+            self._judge(worker, req, told)
+        if told.end not in NEVER_RAN and not req.first_ran:
+            frontend = self.set.frontends[req.frontend]
+            req.first_ran = (told.dispatch, req.sent[told.dispatch])
+            if frontend.repeat is Repeat.UNIQUED and worker is not None:
+                req.group = (frontend.group, worker.zone if frontend.group is Group.ZONE else worker.cell)
+        if told.end is End.PASSED and self.set.settles and told.units and req.counted:
+            self._settle(req, told.units)
+        if told.closed:
+            self._close(req)
+        elif not req.closed and req.waits == OUTCOME and not req.out:
+            req.avoid.add(told.worker)
+            self._resume(req, told)
+        if req.closed and not req.out:
+            self._forget(req)
+
+    def _settle(self, req, units):
+        """The true units are told with the answer: the difference rides on the next add."""
+        for customer, tally, bucket, _ in req.counted:
+            if not tally.by_open and units != req.units:
+                name = self._name(customer, tally, bucket)
+                tally.put(bucket, units - req.units)
+                self.owed[name] = self.owed.get(name, 0.0) + units - req.units
+
+    def _judge(self, worker, req, told):
+        """A worker is judged by failures in a row; how slow it is, by its answers beside the usual."""
+        if told.end is End.PASSED:
+            frontend = self.set.frontends[req.frontend]
+            worker.slow_sum.add(self.now, min(10.0, told.took / max(self._usual(req.frontend), 1.0)))
+            worker.slow_n.add(self.now, 1.0)
+            total, n = self.usual[req.frontend]
+            total.add(self.now, told.took)
+            n.add(self.now, 1.0)
+            if worker.run >= BENCH_AFTER:
+                worker.places = FIRST_PLACES
+            worker.run, worker.benched = 0, 0
+            if told.took < QUICK * frontend.target and worker.out + 1 >= worker.places - 1:
+                worker.places = min(MOST_PLACES, worker.places + 1.0 / worker.places)
+            elif told.took > SLOW * frontend.target:
+                worker.places = max(1.0, 0.8 * worker.places)
+        elif told.end not in (End.CANCELLED, End.UNSENT):
+            worker.slow_sum.add(self.now, FAILED_AS)
+            worker.slow_n.add(self.now, 1.0)
+            worker.run += 1
+            worker.places = max(1.0, 0.8 * worker.places)
+            if worker.run >= BENCH_AFTER:
+                worker.benched = self.now + min(LONGEST_BENCH, BENCH << min(6, worker.run - BENCH_AFTER))
+                self._wake(worker.benched, self._nothing)
+
+    # What is heard -----------------------------------------------------------------------------------------
+
+    def _launched(self, told):
+        self.set, self.random, self.launched = told.settings, Random(told.seed), self.now
+        self.workers, self.customers, self.reqs, self.line = {}, {}, {}, []
+        self.calls, self.owed, self.silent, self.trial_at, self.trial_gap = {}, {}, 0, 0, TRIAL_GAP
+        self.asks, self.arrivals = Fade(WORK_TAU, self.now), Fade(WORK_TAU, self.now)
+        self.usual = [(Fade(WORK_TAU, self.now, f.target / 8), Fade(WORK_TAU, self.now, 1.0))
+                      for f in self.set.frontends]
+        self.wakes, self.token, self.arrived = {}, 0, 0
+        if self.set.must_follow:
+            self.orders.append(Follow(True))
+        self._wake(self.now + TIDY, self._tidy)
+
+    def _arrived(self, told):
+        customer = self._customer(told)
+        frontend = self.set.frontends[told.frontend]
+        req = self.reqs[told.req] = Req()
+        req.id, req.frontend, req.customer, req.units = told.req, told.frontend, customer, told.units
+        req.left_at = self.now + told.left
+        req.target_at = self.now + min(told.left, frontend.target)
+        req.waits, req.counted, req.over, req.sent, req.out = None, [], 0.0, [], {}
+        req.first_ran, req.group, req.closed, req.streams, req.avoid = None, None, False, False, set()
+        req.drew, req.order = False, (0, 0)
+        customer.reqs += 1
+        self.arrived += 1
+        self.arrivals.add(self.now, 1.0)
+        req.path = self._path(req)
+        self._resume(req, None)
+
+    def _customer(self, told):
+        customer = self.customers.get(told.customer)
+        if customer is None:
+            plan = self.set.plans[told.plan]
+            customer = self.customers[told.customer] = Customer()
+            customer.id, customer.plan, customer.doors, customer.reqs = told.customer, told.plan, told.doors, 0
+            customer.store, customer.store_at, customer.promised = 0.0, self.launched, 0.0
+            customer.tallies = []
+            if plan.rate:
+                length = int(BUCKET_BURSTS * plan.burst / plan.rate * SECOND)
+                length = min(LONGEST_BUCKET, max(SHORTEST_BUCKET, length))
+                customer.tallies.append(Tally(False, length, LIMIT_BURSTS * plan.burst, told.doors))
+            if plan.open:
+                length = min(LONGEST_BUCKET, max(f.timeout for f in self.set.frontends))
+                customer.tallies.append(Tally(True, length, plan.open, told.doors))
+        customer.seen = self.now
+        return customer
+
+    def _resume(self, req, told):
+        """Runs the path of a req to its next wait."""
+        try:
+            req.waits = req.path.send(told)
+        except StopIteration:
+            req.waits = None
+        if req.waits == PLACE and not req.closed:
+            self.arrived += 1
+            req.order = (int(4 * req.over), self.arrived)
+            self.line.append(req)
+            self._wake(self._last_start(req), self._late, req)
+
+    def _last_start(self, req):
+        return max(self.now, int(req.target_at - LAST_START * self._usual(req.frontend)))
+
+    def _late(self, req):
+        """A req that can no longer make its response target leaves the line at once."""
+        if not req.closed and req.waits == PLACE and self.now >= self._last_start(req):
+            self.line.remove(req)
+            self._resume(req, None)
+
+    def _close(self, req):
+        if req.closed:
+            return
+        req.closed = True
+        if req.waits == PLACE and req in self.line:
+            self.line.remove(req)
+        if not req.path.gi_running:
+            req.path.close()
+        if not req.drew:
+            req.customer.promised = max(0.0, req.customer.promised - req.units)
+        if not req.out:
+            self._forget(req)
+
+    def _forget(self, req):
+        if self.reqs.pop(req.id, None) is None:
+            return
+        req.customer.reqs -= 1
+        if req.sent:
+            req.counted = [c for c in req.counted if c[1].by_open]
+        self._take_back(req)
+
+    def _left(self, told):
+        req = self.reqs.get(told.req)
+        if req is not None:
+            self._close(req)
+
+    def _streaming(self, told):
+        req = self.reqs.get(told.req)
+        if req is not None:
+            req.streams = True
+
+    def _roster(self, told):
+        """From the moment of being told, nothing new goes to a worker that drains or is gone."""
+        if told.news is News.FAILED:
+            return self._wake(self.now + SECOND, self._follow) if self.set.must_follow else None
+        named = set()
+        for machine in told.machines:
+            named.add(machine.worker)
+            worker = self.workers.get(machine.worker)
+            if worker is None or worker.started != machine.started:
+                worker = self._new_worker(machine, worker)
+            worker.ready = machine.phase is Phase.READY
+        for worker in self.workers.values():
+            if told.news is not News.CHANGES and worker.id not in named:
+                worker.ready = False
+        return None
+
+    def _new_worker(self, machine, before):
+        worker = self.workers[machine.worker] = Worker()
+        worker.id, worker.cell, worker.zone, worker.started = (machine.worker, machine.cell, machine.zone,
+                                                               machine.started)
+        worker.out, worker.places, worker.run, worker.benched = 0, FIRST_PLACES, 0, 0
+        worker.slow_sum, worker.slow_n = Fade(SLOW_TAU, self.now), Fade(SLOW_TAU, self.now)
+        worker.pace, worker.credit, worker.credit_at = Fade(PACE_TAU, self.now), 0.0, self.now
+        return worker
+
+    def _follow(self):
+        self.orders.append(Follow(True))
+
+    def _nothing(self, *_):
+        """Nothing to do: the line is served after every step."""
+
+    def _wake(self, at, call, *args):
+        self.token += 1
+        self.wakes[self.token] = (call, args)
+        self.orders.append(Wake(max(1, at - self.now), self.token))
+
+    def _woke(self, told):
+        call, args = self.wakes.pop(told.token, (self._nothing, ()))
+        call(*args)
+
+    def _tidy(self):
+        for customer in list(self.customers.values()):
+            if not customer.reqs and self.now - customer.seen > IDLE:
+                del self.customers[customer.id]
+        for worker in list(self.workers.values()):
+            if not worker.ready and not worker.out:
+                del self.workers[worker.id]
+        self._wake(self.now + TIDY, self._tidy)
+
+
+HEAR = {Launched: Gatekeeper._launched, Roster: Gatekeeper._roster, Arrived: Gatekeeper._arrived,
+        Ended: Gatekeeper._ended, Streaming: Gatekeeper._streaming, Left: Gatekeeper._left,
+        Counted: Gatekeeper._counted, Woke: Gatekeeper._woke, Probed: Gatekeeper._nothing,
+        Heard: Gatekeeper._nothing}
--- /dev/null
+++ b/fernyard/interface.py
@@ -0,0 +1,256 @@
+"""What the decisions are told and what they order: types only.
+
+Times are whole tenths of a millisecond. Ids are as the wire gives them.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Repeat(Enum):
+    """May a req of a frontend run again?"""
+
+    REPLAYABLE = "replayable"
+    UNIQUED = "uniqued"
+    NON_REPLAYABLE = "non-replayable"
+
+
+class Group(Enum):
+    """Which workers drop a repeat of a uniqued req."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Phase(Enum):
+    GONE = "gone"
+    DRAINING = "draining"
+    READY = "ready"
+
+
+class News(Enum):
+    """How a roster message relates to the list held."""
+
+    CHANGES = "changes"
+    WHOLE = "whole"
+    CACHED = "cached"
+    FAILED = "failed"
+
+
+class End(Enum):
+    """How a dispatch, a probe or a count call ended."""
+
+    PASSED = "passed"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    NO_CONNECTION = "no connection"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    UNSENT = "unsent"
+
+
+NEVER_RAN = frozenset((End.FULL, End.NO_CONNECTION, End.UNSENT))
+
+
+@dataclass(frozen=True, slots=True)
+class Frontend:
+    target: int
+    timeout: int
+    repeat: Repeat
+    group: Group
+    window: int
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    rate: float
+    burst: float
+    open: int
+    ceiling_rate: float
+    ceiling_depth: float
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    frontends: tuple[Frontend, ...]
+    plans: tuple[Plan, ...]
+    zone: int
+    must_follow: bool
+    max_dispatches: int
+    second_copies: bool
+    may_count: bool
+    count_timeout: int
+    settles: bool
+    longest_return: int
+    cold_share: float
+    warm_up: int
+
+
+# Happenings
+
+
+@dataclass(frozen=True, slots=True)
+class Launched:
+    settings: Settings
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    worker: int
+    started: int
+    cell: int
+    zone: int
+    phase: Phase
+
+
+@dataclass(frozen=True, slots=True)
+class Roster:
+    news: News
+    machines: tuple[Machine, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Arrived:
+    req: int
+    frontend: int
+    plan: int
+    customer: int
+    left: int
+    units: float = 1.0
+    doors: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """A dispatch ended. `closed`: the client has its final answer."""
+
+    req: int
+    dispatch: int
+    worker: int
+    closed: bool
+    end: End
+    took: int
+    units: float = 0.0
+    load: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Streaming:
+    """The answer has begun: the client owns this dispatch now."""
+
+    req: int
+    dispatch: int
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """The client went away: no answer is owed."""
+
+    req: int
+
+
+@dataclass(frozen=True, slots=True)
+class Counted:
+    name: int
+    end: End
+    total: float
+    took: int
+
+
+@dataclass(frozen=True, slots=True)
+class Woke:
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    worker: int
+    end: End
+    took: int
+    load: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    peer: int
+    text: bytes
+
+
+# Orders
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    req: int
+    worker: int
+    limit: int
+
+
+@dataclass(frozen=True, slots=True)
+class Deny:
+    req: int
+    return_in: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Abort:
+    req: int
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    req: int
+    dispatch: int
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    after: int
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Add:
+    name: int
+    amount: float
+    keep: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    worker: int
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """`peer` None: every peer."""
+
+    peer: int | None
+    text: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Follow:
+    on: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class HangUp:
+    worker: int
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    text: str
+
+
+Happening = Launched | Roster | Arrived | Ended | Streaming | Left | Counted | Woke | Probed | Heard
+Order = Dispatch | Deny | Abort | Cancel | Wake | Add | Probe | Tell | Follow | Fetch | HangUp | Note
--- /dev/null
+++ b/fernyard/simhost/__init__.py
@@ -0,0 +1,1 @@
+"""Plays the decisions on the simulator's wire."""
