No req is lost while the line's timer moves or the counter takes longer than the client

Cause: the timer that takes a late req out of the line was set once, while the usual answer time moved; and a client's later try can leave less time than one counter call takes. Guards against any wait that outlasts the client.

--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -36,6 +36,7 @@
 ELSEWHERE = 1.1                                       # what a worker in another zone must be better by
 COLD_GAIN = 1.2                                       # work for a cold worker, beside its share of a warm one's
 LAST_START = 1.2                                      # usual answer times that must be left to begin a req
+ANSWER_MARGIN = SECOND // 50                          # before the client timeout, for a req still in line
 TIDY = 10 * SECOND
 IDLE = 70 * SECOND                                    # beyond any bucket kept and any ceiling filled
 
@@ -437,6 +438,7 @@
         self.arrived += 1
         self.arrivals.add(self.now, 1.0)
         req.path = self._path(req)
+        self._wake(req.left_at - ANSWER_MARGIN, self._overdue, req)
         self._resume(req, None)
 
     def _customer(self, told):
@@ -473,10 +475,20 @@
         return max(self.now, int(req.target_at - LAST_START * self._usual(req.frontend)))
 
     def _late(self, req):
-        """A req that can no longer make its response target leaves the line at once."""
-        if not req.closed and req.waits == PLACE and self.now >= self._last_start(req):
-            self.line.remove(req)
-            self._resume(req, None)
+        """A req that can no longer make its response target leaves the line at once. The usual answer time
+        moves while it waits, so a timer that comes too early is set again: without that a req was lost."""
+        if req.closed or req.waits != PLACE:
+            return
+        if self.now < self._last_start(req):
+            return self._wake(self._last_start(req), self._late, req)
+        self.line.remove(req)
+        self._resume(req, None)
+
+    def _overdue(self, req):
+        """A client's later try may leave less time than the counter takes to answer: whatever is still
+        undispatched shortly before the client timeout is answered then."""
+        if not req.closed and not req.out:
+            self._give_up(req)
 
     def _close(self, req):
         if req.closed:
