Calls to the counter are paced by what it answers; without one the last total decides

Also covers silence, refusal and a lost link; harms a customer whose traffic has just moved here while calls are scarce.

--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -20,11 +20,13 @@
 COUNT, PLACE, OUTCOME = "count", "place", "outcome"   # what the path of a req waits for
 
 # The quota: bucket length and limit in bursts, and how long a name is kept on the counter.
-BUCKET_BURSTS, LIMIT_BURSTS = 1.0, 1.0
+BUCKET_BURSTS, LIMIT_BURSTS = 1.25, 1.35
 LONGEST_KEEP = 60 * SECOND
 SHORTEST_BUCKET, LONGEST_BUCKET = SECOND // 2, 20 * SECOND
-# The counter: calls failed in a row until it is not waited for, and the gap between trial calls.
-BLIND_AFTER, TRIAL_GAP, LONGEST_TRIAL_GAP = 3, SECOND // 10, SECOND
+# The counter: calls failed in a row until none is waited for; the pace of calls (a second), the time in seconds
+# for which unused calls are kept, how long one failure counts as crowding, and the spread of own counts.
+BLIND_AFTER, FEWEST_CALLS, MOST_CALLS, CALL_SPAN = 3, 8.0, 4000.0, 0.2
+CROWDED_FOR, SPREAD = SECOND, 1.0
 ASKED_AT_LEAST = 0.8                                  # of the reqs, before one may be denied without a call
 WELL_OVER = 1.1                                       # times the limit: seen this far over, no call is needed
 # Workers: places at first and at most; failures in a row that bench one and for how long.
@@ -93,6 +95,7 @@
     def put(self, bucket, units):
         if bucket == self.bucket:
             self.own = max(0.0, self.own + units)
+            self.total = max(self.own, self.total + units)
         elif bucket == self.bucket - 1:
             self.was_own = max(0.0, self.was_own + units)
 
@@ -142,7 +145,7 @@
                     yield COUNT
                 over = self._estimate(tally) > tally.limit
             else:
-                over = self._own_estimate(tally) > max(tally.share, 1.0 / customer.doors) * tally.limit
+                over = self._over_unasked(customer, tally)
             req.over = max(req.over, self._estimate(tally) / tally.limit)
             if over:
                 return self._deny(req, self._return_in(tally, units))
@@ -191,6 +194,12 @@
     def _own_estimate(self, tally):
         return tally.was_own * tally.overlap(self.now) + tally.own
 
+    def _over_unasked(self, customer, tally):
+        """Without an answer: what the last total makes sure of, and our share of the limit on own counts,
+        with the spread that chance gives so small a number."""
+        ours = max(tally.share, 1.0 / customer.doors) * tally.limit
+        return self._estimate(tally) > tally.limit or self._own_estimate(tally) > ours + SPREAD * ours ** 0.5
+
     def _surely_over(self, tally, units):
         """Denial without a call for a customer just seen well over: spares a counter that refused clients
         crowd. Harms when a total held units about to be taken back, hence the margin and the asked share."""
@@ -216,19 +225,27 @@
         req.counted.append((customer, tally, bucket, units))
         if not self.set.may_count:
             return False
+        if not self._may_call():
+            self.owed[name] = self.owed.get(name, 0.0) + units
+            return False
         if self.silent >= BLIND_AFTER:
-            if self.now < self.trial_at:
-                self.owed[name] = self.owed.get(name, 0.0) + units
-                return False
-            self.trial_gap = min(2 * self.trial_gap, LONGEST_TRIAL_GAP)
-            self.trial_at = self.now + self.trial_gap
             req = None
         self.asks.add(self.now, 1.0)
         self._call(name, units, req, customer, tally, bucket)
         return req is not None
 
+    def _may_call(self):
+        """Calls are paced by what the counter answers: each failure cuts the pace, each answer raises it."""
+        self.tokens += (self.now - self.tokens_at) * self.call_pace / SECOND
+        self.tokens_at, self.tokens = self.now, min(self.tokens, max(1.0, self.call_pace * CALL_SPAN))
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
     def _call(self, name, units, req, customer, tally, bucket):
         units += self.owed.pop(name, 0.0)
+        self.called.add(self.now, 1.0)
         self.calls.setdefault(name, deque()).append((req, customer, tally, bucket, units))
         self.orders.append(Add(name, units, min(LONGEST_KEEP, 3 * tally.length + SECOND)))
 
@@ -237,29 +254,28 @@
         for customer, tally, bucket, units in req.counted:
             name = self._name(customer, tally, bucket)
             tally.put(bucket, -units)
-            if bucket == tally.bucket:
-                tally.total = max(tally.own, tally.total - units)
             if not self.set.may_count or (bucket + 3) * tally.length < self.now:
                 self.owed.pop(name, None)
-            elif name in self.owed or self.silent >= BLIND_AFTER:
+            elif name in self.owed or self.cut_at > self.now - CROWDED_FOR or not self._may_call():
                 self.owed[name] = self.owed.get(name, 0.0) - units
             else:
                 self._call(name, -units, None, customer, tally, bucket)
         req.counted = []
 
     def _counted(self, told):
-        """A silent, refusing or slow counter stalls every req: after a few calls failed in a row none waits
-        any more; the same estimate is made on own counts against our share of the limit, and a trial call
-        now and then finds the counter back. Also covers a lost link to it. Harms a customer whose traffic
-        has just moved here, until the share is learned."""
+        """A counter that is silent, refusing, slow or crowded stalls every req. Failed calls cut the pace of
+        calls down to a few trials a second, answers raise it; a req without a call is decided at once by the
+        same estimate on what is known, and its units ride on the next add. Also covers a lost link to the
+        counter and a fleet too large for it. Harms a customer whose traffic has just moved here."""
         pending = self.calls[told.name]
         req, customer, tally, bucket, units = pending.popleft()
         if not pending:
             del self.calls[told.name]
         if told.end is End.PASSED:
-            self.silent, self.trial_gap = 0, TRIAL_GAP
-            tally.told(bucket, told.total)
-            if self.owed and told.name not in self.owed:
+            self.silent = 0
+            self.call_pace = min(MOST_CALLS, self.call_pace + 1.0)
+            tally.told(bucket, told.total + self.owed.get(told.name, 0.0) + sum(c[4] for c in pending))
+            if self.owed and self.cut_at < self.now - CROWDED_FOR:
                 name = next(iter(self.owed))
                 if name not in self.calls:
                     owed = self.owed.pop(name)
@@ -267,8 +283,9 @@
                     self.orders.append(Add(name, owed, LONGEST_KEEP // 2))
         else:
             self.silent += 1
-            if self.silent == BLIND_AFTER:
-                self.trial_at = self.now + self.trial_gap
+            if self.now >= self.cut_at + self.set.count_timeout:
+                self.cut_at = self.now
+                self.call_pace = max(FEWEST_CALLS, 0.7 * min(self.call_pace, self.called.read(self.now)))
             if told.end in NEVER_RAN and units:
                 self.owed[told.name] = self.owed.get(told.name, 0.0) + units
         if req is not None and not req.closed and req.waits == COUNT:
@@ -415,7 +432,9 @@
     def _launched(self, told):
         self.set, self.random, self.launched = told.settings, Random(told.seed), self.now
         self.workers, self.customers, self.reqs, self.line = {}, {}, {}, []
-        self.calls, self.owed, self.silent, self.trial_at, self.trial_gap = {}, {}, 0, 0, TRIAL_GAP
+        self.calls, self.owed, self.silent, self.cut_at = {}, {}, 0, -LONGEST_KEEP
+        self.call_pace, self.tokens, self.tokens_at = MOST_CALLS, 1.0, self.now
+        self.called = Fade(SECOND, self.now)
         self.asks, self.arrivals = Fade(WORK_TAU, self.now), Fade(WORK_TAU, self.now)
         self.usual = [(Fade(WORK_TAU, self.now, f.target / 8), Fade(WORK_TAU, self.now, 1.0))
                       for f in self.set.frontends]
