--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -29,12 +29,12 @@
 CROWDED_FOR, SPREAD = SECOND, 1.0
 ASKED_AT_LEAST = 0.8                                  # of the reqs, before one may be denied without a call
 WELL_OVER = 1.1                                       # times the limit: seen this far over, no call is needed
-# Workers: places at first and at most; failures in a row that bench one and for how long.
-FIRST_PLACES, MOST_PLACES = 2.0, 16.0
+# Workers: places at first over all gatekeepers, at least and at most here; failures in a row that bench one and for how long.
+FIRST_PLACES, FEWEST_PLACES, MOST_PLACES = 6.0, 0.1, 16.0
 BENCH_AFTER, BENCH, LONGEST_BENCH = 3, SECOND // 2, 4 * SECOND
 SLOW_TAU, WORK_TAU, PACE_TAU = 3 * SECOND, 15 * SECOND, 5 * SECOND
 FAILED_AS = 4.0                                       # a failure weighs as an answer this many times too slow
-QUICK, SLOW = 0.5, 0.8                                # shares of the response target that move the places
+QUICK, SLOW = 0.3, 0.5                                # shares of the response target that move the places
 ELSEWHERE = 1.1                                       # what a worker in another zone must be better by
 COLD_GAIN = 1.2                                       # work for a cold worker, beside its share of a warm one's
 LAST_START = 1.2                                      # usual answer times that must be left to begin a req
@@ -313,9 +313,11 @@
         benched = sum(w.benched > self.now for w in workers)
         # When most workers fail the trouble is not theirs: nobody is benched.
         free = [w for w in workers if self._has_place(w, benched * 2 > len(workers))]
+        # Where gatekeepers are many a worker has less than one place for each; the sum over the workers holds.
+        room = sum(w.places - w.out for w in workers if w in free or w.out)
         self.line.sort(key=lambda req: req.order)
         for req in list(self.line):
-            if not free:
+            if not free or room <= 0 and any(w.out for w in workers):
                 return
             fit = [w for w in free if not req.group or self._in_group(w, req)]
             if not fit:
@@ -323,6 +325,7 @@
             best = min(fit, key=lambda w: self._cost(w) * (2.0 if w.id in req.avoid else 1.0))
             self.line.remove(req)
             self._resume(req, best)
+            room -= 1
             if not self._has_place(best, benched * 2 > len(workers)):
                 free.remove(best)
 
@@ -334,8 +337,8 @@
         if worker.benched > self.now and not all_fail:
             return False
         if worker.started and self.now - worker.started < self.set.warm_up:
-            return worker.out < worker.places and self._cold_credit(worker) > 0
-        return worker.out < (1 if worker.run >= BENCH_AFTER else worker.places)
+            return worker.out < max(1.0, worker.places) and self._cold_credit(worker) > 0
+        return worker.out < (1 if worker.run >= BENCH_AFTER else max(1.0, worker.places))
 
     def _cold_credit(self, worker):
         """A cold worker earns work at its cold share of what a warm one gets from here, and starts with none:
@@ -412,17 +415,17 @@
             total.add(self.now, told.took)
             n.add(self.now, 1.0)
             if worker.run >= BENCH_AFTER:
-                worker.places = FIRST_PLACES
+                worker.places = FIRST_PLACES / self.set.gatekeepers
             worker.run, worker.benched = 0, 0
             if told.took < QUICK * frontend.target and worker.out + 1 >= worker.places - 1:
-                worker.places = min(MOST_PLACES, worker.places + 1.0 / worker.places)
+                worker.places = min(MOST_PLACES, worker.places + 0.5 / max(1.0, worker.places))
             elif told.took > SLOW * frontend.target:
-                worker.places = max(1.0, 0.8 * worker.places)
+                worker.places = max(FEWEST_PLACES, 0.9 * worker.places)
         elif told.end not in (End.CANCELLED, End.UNSENT):
             worker.slow_sum.add(self.now, FAILED_AS)
             worker.slow_n.add(self.now, 1.0)
             worker.run += 1
-            worker.places = max(1.0, 0.8 * worker.places)
+            worker.places = max(FEWEST_PLACES, 0.9 * worker.places)
             if worker.run >= BENCH_AFTER:
                 worker.benched = self.now + min(LONGEST_BENCH, BENCH << min(6, worker.run - BENCH_AFTER))
                 self._wake(worker.benched, self._nothing)
@@ -560,7 +563,7 @@
         worker = self.workers[machine.worker] = Worker()
         worker.id, worker.cell, worker.zone, worker.started = (machine.worker, machine.cell, machine.zone,
                                                                machine.started)
-        worker.out, worker.places, worker.run, worker.benched = 0, FIRST_PLACES, 0, 0
+        worker.out, worker.places, worker.run, worker.benched = 0, FIRST_PLACES / self.set.gatekeepers, 0, 0
         worker.slow_sum, worker.slow_n = Fade(SLOW_TAU, self.now), Fade(SLOW_TAU, self.now)
         worker.pace, worker.credit, worker.credit_at = Fade(PACE_TAU, self.now), 0.0, self.now
         return worker
--- a/fernyard/interface.py
+++ b/fernyard/interface.py
@@ -76,6 +76,7 @@
 class Settings:
     frontends: tuple[Frontend, ...]
     plans: tuple[Plan, ...]
+    gatekeepers: int
     zone: int
     must_follow: bool
     max_dispatches: int
--- a/fernyard/simhost/host.py
+++ b/fernyard/simhost/host.py
@@ -34,6 +34,7 @@
                 rate=p.get("refill", 0), burst=p.get("burst", 0), open=p.get("open", 0),
                 ceiling_rate=p.get("ceilingRate", 0), ceiling_depth=p.get("capDepth", 0),
             ) for p in told.get("tariffs", ())),
+            gatekeepers=max(1, told.get("balancers", 1)),
             zone=told.get("zone", 0),
             must_follow=told.get("membershipMode") == "subscribe",
             max_dispatches=allowed.get("mostTries", 1),
