--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -31,8 +31,9 @@
 WELL_OVER = 1.1                                       # times the limit: seen this far over, no call is needed
 # Workers: places at first over all gatekeepers, at least and at most here; failures in a row that bench one and for how long.
 FIRST_PLACES, FEWEST_PLACES, MOST_PLACES = 6.0, 0.1, 16.0
+GROW, SHRINK = 0.25, 0.35                             # of the places, while all that is out is answered once
 BENCH_AFTER, BENCH, LONGEST_BENCH = 3, SECOND // 2, 4 * SECOND
-SLOW_TAU, WORK_TAU, PACE_TAU = 3 * SECOND, 15 * SECOND, 5 * SECOND
+SLOW_TAU, WORK_TAU, PACE_TAU = 3 * SECOND, 5 * SECOND, 5 * SECOND
 FAILED_AS = 4.0                                       # a failure weighs as an answer this many times too slow
 QUICK, SLOW = 0.3, 0.5                                # shares of the response target that move the places
 ELSEWHERE = 1.1                                       # what a worker in another zone must be better by
@@ -106,11 +107,11 @@
 
 class Req:
     __slots__ = ("id", "frontend", "customer", "units", "left_at", "target_at", "path", "waits", "counted", "over",
-                 "sent", "out", "first_ran", "group", "closed", "streams", "avoid", "drew", "order")
+                 "sent", "out", "first_ran", "long", "group", "closed", "streams", "avoid", "drew", "order")
 
 
 class Worker:
-    __slots__ = ("id", "cell", "zone", "started", "ready", "out", "places", "run", "benched", "slow_sum", "slow_n",
+    __slots__ = ("id", "cell", "zone", "started", "ready", "out", "run", "benched", "slow_sum", "slow_n",
                  "pace", "credit", "credit_at")
 
 
@@ -314,10 +315,10 @@
         # When most workers fail the trouble is not theirs: nobody is benched.
         free = [w for w in workers if self._has_place(w, benched * 2 > len(workers))]
         # Where gatekeepers are many a worker has less than one place for each; the sum over the workers holds.
-        room = sum(w.places - w.out for w in workers if w in free or w.out)
+        room = self.fill * len(workers) - self.all_out
         self.line.sort(key=lambda req: req.order)
         for req in list(self.line):
-            if not free or room <= 0 and any(w.out for w in workers):
+            if not free or room <= 0 < self.all_out:
                 return
             fit = [w for w in free if not req.group or self._in_group(w, req)]
             if not fit:
@@ -337,8 +338,8 @@
         if worker.benched > self.now and not all_fail:
             return False
         if worker.started and self.now - worker.started < self.set.warm_up:
-            return worker.out < max(1.0, worker.places) and self._cold_credit(worker) > 0
-        return worker.out < (1 if worker.run >= BENCH_AFTER else max(1.0, worker.places))
+            return worker.out < max(1.0, self.fill) and self._cold_credit(worker) > 0
+        return worker.out < (1 if worker.run >= BENCH_AFTER else max(1.0, 2 * self.fill / self._slowness(worker)))
 
     def _cold_credit(self, worker):
         """A cold worker earns work at its cold share of what a warm one gets from here, and starts with none:
@@ -355,10 +356,12 @@
         worker.credit_at = self.now
         return worker.credit
 
+    def _slowness(self, worker):
+        return (worker.slow_sum.read(self.now) + 1.0) / (worker.slow_n.read(self.now) + 1.0)
+
     def _cost(self, worker):
-        slow = (worker.slow_sum.read(self.now) + 1.0) / (worker.slow_n.read(self.now) + 1.0)
         away = ELSEWHERE if worker.zone != self.set.zone else 1.0
-        return slow * (worker.out + 1.0) * away * (1.0 + 0.05 * self.random.random())
+        return self._slowness(worker) * (worker.out + 1.0) * away * (1.0 + 0.05 * self.random.random())
 
     def _usual(self, frontend):
         total, n = self.usual[frontend]
@@ -367,11 +370,28 @@
     def _dispatch(self, req, worker):
         work = self._usual(req.frontend)
         worker.out += 1
+        self.all_out += 1
         worker.pace.add(self.now, work)
         worker.credit -= work
         req.out[len(req.sent)] = worker
         req.sent.append(self.now)
         self.orders.append(Dispatch(req.id, worker.id, max(1, req.left_at - self.now)))
+        self._wake(self.now + int(SLOW * self.set.frontends[req.frontend].target), self._overlong, req, len(req.sent) - 1)
+
+    def _overlong(self, req, dispatch):
+        """A dispatch still out after so much of the response target: the places shrink now, not when it ends.
+        Holds against anything that slows many workers at once; harms after a run of heavy reqs."""
+        worker = req.out.get(dispatch)
+        if worker is not None:
+            req.long = True
+            self._refill(False)
+            worker.slow_sum.add(self.now, (self.now - req.sent[dispatch]) / self._usual(req.frontend))
+            worker.slow_n.add(self.now, 1.0)
+
+    def _refill(self, quick):
+        """The places of a worker, learned from all outcomes here: one worker alone answers too seldom."""
+        step = 1.0 + GROW / max(1, self.all_out) if quick else 1.0 - SHRINK / max(1, self.all_out)
+        self.fill = min(MOST_PLACES, max(FEWEST_PLACES, self.fill * step))
 
     def _ended(self, told):
         """Books the outcome of a dispatch, whether its req is still open or not."""
@@ -381,6 +401,7 @@
         worker = req.out.pop(told.dispatch, None)
         if worker is not None:
             worker.out -= 1
+            self.all_out -= 1
             self._judge(worker, req, told)
         if told.end not in NEVER_RAN and not req.first_ran:
             frontend = self.set.frontends[req.frontend]
@@ -414,18 +435,14 @@
             total, n = self.usual[req.frontend]
             total.add(self.now, told.took)
             n.add(self.now, 1.0)
-            if worker.run >= BENCH_AFTER:
-                worker.places = FIRST_PLACES / self.set.gatekeepers
             worker.run, worker.benched = 0, 0
-            if told.took < QUICK * frontend.target and worker.out + 1 >= worker.places - 1:
-                worker.places = min(MOST_PLACES, worker.places + 0.5 / max(1.0, worker.places))
-            elif told.took > SLOW * frontend.target:
-                worker.places = max(FEWEST_PLACES, 0.9 * worker.places)
+            if told.took < QUICK * frontend.target and self.all_out + 1 >= 0.5 * self.fill * len(self.workers):
+                self._refill(True)
         elif told.end not in (End.CANCELLED, End.UNSENT):
             worker.slow_sum.add(self.now, FAILED_AS)
             worker.slow_n.add(self.now, 1.0)
             worker.run += 1
-            worker.places = max(FEWEST_PLACES, 0.9 * worker.places)
+            self._refill(False)
             if worker.run >= BENCH_AFTER:
                 worker.benched = self.now + min(LONGEST_BENCH, BENCH << min(6, worker.run - BENCH_AFTER))
                 self._wake(worker.benched, self._nothing)
@@ -442,6 +459,7 @@
         self.usual = [(Fade(WORK_TAU, self.now, f.target / 8), Fade(WORK_TAU, self.now, 1.0))
                       for f in self.set.frontends]
         self.wakes, self.token, self.arrived = {}, 0, 0
+        self.fill, self.all_out = FIRST_PLACES / self.set.gatekeepers, 0
         if self.set.must_follow:
             self.orders.append(Follow(True))
         self._wake(self.now + TIDY, self._tidy)
@@ -455,7 +473,7 @@
         req.target_at = self.now + min(told.left, frontend.target)
         req.waits, req.counted, req.over, req.sent, req.out = None, [], 0.0, [], {}
         req.first_ran, req.group, req.closed, req.streams, req.avoid = None, None, False, False, set()
-        req.drew, req.order = False, (0, 0)
+        req.drew, req.long, req.order = False, False, (0, 0)
         customer.reqs += 1
         self.arrived += 1
         self.arrivals.add(self.now, 1.0)
@@ -563,7 +581,7 @@
         worker = self.workers[machine.worker] = Worker()
         worker.id, worker.cell, worker.zone, worker.started = (machine.worker, machine.cell, machine.zone,
                                                                machine.started)
-        worker.out, worker.places, worker.run, worker.benched = 0, FIRST_PLACES / self.set.gatekeepers, 0, 0
+        worker.out, worker.run, worker.benched = 0, 0, 0
         worker.slow_sum, worker.slow_n = Fade(SLOW_TAU, self.now), Fade(SLOW_TAU, self.now)
         worker.pace, worker.credit, worker.credit_at = Fade(PACE_TAU, self.now), 0.0, self.now
         return worker
