--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -199,7 +199,9 @@
         """Without an answer: what the last total makes sure of, and our share of the limit on own counts,
         with the spread that chance gives so small a number."""
         ours = max(tally.share, 1.0 / customer.doors) * tally.limit
-        return self._estimate(tally) > tally.limit or self._own_estimate(tally) > ours + SPREAD * ours ** 0.5
+        if not tally.by_open and self._estimate(tally) > tally.limit:
+            return True
+        return self._own_estimate(tally) > ours + SPREAD * ours ** 0.5
 
     def _surely_over(self, tally, units):
         """Denial without a call for a customer just seen well over: spares a counter that refused clients
@@ -223,11 +225,15 @@
         bucket = self.now // tally.length
         name = self._name(customer, tally, bucket)
         tally.put(bucket, units)
-        req.counted.append((customer, tally, bucket, units))
+        req.counted.append((customer, tally, bucket, units, True))
         if not self.set.may_count:
             return False
         if not self._may_call():
-            self.owed[name] = self.owed.get(name, 0.0) + units
+            if tally.by_open:
+                # A +1 told late would only need its -1 told too: this dispatch stays on own counts.
+                req.counted[-1] = (customer, tally, bucket, units, False)
+            else:
+                self.owed[name] = self.owed.get(name, 0.0) + units
             return False
         if self.silent >= BLIND_AFTER:
             req = None
@@ -252,15 +258,15 @@
 
     def _take_back(self, req):
         """Units of a req never sent, and the dispatch of one that has ended, go off the name they went on."""
-        for customer, tally, bucket, units in req.counted:
+        for customer, tally, bucket, units, told in req.counted:
             name = self._name(customer, tally, bucket)
             tally.put(bucket, -units)
-            if not self.set.may_count or (bucket + 3) * tally.length < self.now:
-                self.owed.pop(name, None)
-            elif name in self.owed or self.cut_at > self.now - CROWDED_FOR or not self._may_call():
-                self.owed[name] = self.owed.get(name, 0.0) - units
-            else:
+            if not told or not self.set.may_count or (bucket + 3) * tally.length < self.now:
+                continue
+            if self._may_call() or tally.by_open and self.silent < BLIND_AFTER:
                 self._call(name, -units, None, customer, tally, bucket)
+            else:
+                self.owed[name] = self.owed.get(name, 0.0) - units
         req.counted = []
 
     def _counted(self, told):
@@ -420,7 +426,7 @@
 
     def _settle(self, req, units):
         """The true units are told with the answer: the difference rides on the next add."""
-        for customer, tally, bucket, _ in req.counted:
+        for customer, tally, bucket, _, _ in req.counted:
             if not tally.by_open and units != req.units:
                 name = self._name(customer, tally, bucket)
                 tally.put(bucket, units - req.units)
