--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -26,12 +26,12 @@
 # The counter: calls failed in a row until none is waited for; the pace of calls (a second), the time in seconds
 # for which unused calls are kept, how long one failure counts as crowding, and the spread of own counts.
 BLIND_AFTER, FEWEST_CALLS, MOST_CALLS, CALL_SPAN = 3, 8.0, 4000.0, 0.2
-CROWDED_FOR, SPREAD = SECOND, 1.0
+CROWDED, CROWDED_FOR, SPREAD = 0.3, SECOND, 1.0
 ASKED_AT_LEAST = 0.8                                  # of the reqs, before one may be denied without a call
 WELL_OVER = 1.1                                       # times the limit: seen this far over, no call is needed
 # Workers: places at first over all gatekeepers, at least and at most here; failures in a row that bench one and for how long.
-FIRST_PLACES, FEWEST_PLACES, MOST_PLACES = 6.0, 0.1, 16.0
-GROW, SHRINK = 0.25, 0.35                             # of the places, while all that is out is answered once
+FIRST_PLACES, FEWEST_PLACES, MOST_PLACES = 6.0, 2.0, 16.0
+GROW, SHRINK = 0.15, 0.9                             # of the places, while all that is out is answered once
 BENCH_AFTER, BENCH, LONGEST_BENCH = 3, SECOND // 2, 4 * SECOND
 SLOW_TAU, WORK_TAU, PACE_TAU = 3 * SECOND, 5 * SECOND, 5 * SECOND
 FAILED_AS = 4.0                                       # a failure weighs as an answer this many times too slow
@@ -280,6 +280,8 @@
             del self.calls[told.name]
         if told.end is End.PASSED:
             self.silent = 0
+            self.answer_time.add(self.now, told.took)
+            self.answers.add(self.now, 1.0)
             self.call_pace = min(MOST_CALLS, self.call_pace + 1.0)
             tally.told(bucket, told.total + self.owed.get(told.name, 0.0) + sum(c[4] for c in pending))
             if self.owed and self.cut_at < self.now - CROWDED_FOR:
@@ -290,9 +292,11 @@
                     self.orders.append(Add(name, owed, LONGEST_KEEP // 2))
         else:
             self.silent += 1
+            took = self.answer_time.read(self.now) / max(self.answers.read(self.now), 1e-9)
+            crowded = self.silent >= BLIND_AFTER or took > CROWDED * self.set.count_timeout
             if self.now >= self.cut_at + self.set.count_timeout:
                 self.cut_at = self.now
-                self.call_pace = max(FEWEST_CALLS, 0.7 * min(self.call_pace, self.called.read(self.now)))
+                self.call_pace = max(FEWEST_CALLS, (0.7 if crowded else 0.93) * min(self.call_pace, self.called.read(self.now)))
             if told.end in NEVER_RAN and units:
                 self.owed[told.name] = self.owed.get(told.name, 0.0) + units
         if req is not None and not req.closed and req.waits == COUNT:
@@ -397,7 +401,7 @@
     def _refill(self, quick):
         """The places of a worker, learned from all outcomes here: one worker alone answers too seldom."""
         step = 1.0 + GROW / max(1, self.all_out) if quick else 1.0 - SHRINK / max(1, self.all_out)
-        self.fill = min(MOST_PLACES, max(FEWEST_PLACES, self.fill * step))
+        self.fill = min(MOST_PLACES, max(FEWEST_PLACES / self.set.gatekeepers, self.fill * step))
 
     def _ended(self, told):
         """Books the outcome of a dispatch, whether its req is still open or not."""
@@ -460,7 +464,7 @@
         self.workers, self.customers, self.reqs, self.line = {}, {}, {}, []
         self.calls, self.owed, self.silent, self.cut_at = {}, {}, 0, -LONGEST_KEEP
         self.call_pace, self.tokens, self.tokens_at = MOST_CALLS, 1.0, self.now
-        self.called = Fade(SECOND, self.now)
+        self.called, self.answers, self.answer_time = (Fade(SECOND, self.now) for _ in range(3))
         self.asks, self.arrivals = Fade(WORK_TAU, self.now), Fade(WORK_TAU, self.now)
         self.usual = [(Fade(WORK_TAU, self.now, f.target / 8), Fade(WORK_TAU, self.now, 1.0))
                       for f in self.set.frontends]
