--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -26,12 +26,12 @@
 # The counter: calls failed in a row until none is waited for; the pace of calls (a second), the time in seconds
 # for which unused calls are kept, how long one failure counts as crowding, and the spread of own counts.
 BLIND_AFTER, FEWEST_CALLS, MOST_CALLS, CALL_SPAN = 3, 8.0, 4000.0, 0.2
-CROWDED, CROWDED_FOR, SPREAD = 0.3, SECOND, 1.0
+CROWDED, CROWDED_CUT, LONE_CUT, CROWDED_FOR, SPREAD = 0.3, 0.7, 0.93, SECOND, 1.0
 ASKED_AT_LEAST = 0.8                                  # of the reqs, before one may be denied without a call
 WELL_OVER = 1.1                                       # times the limit: seen this far over, no call is needed
 # Workers: places at first over all gatekeepers, at least and at most here; failures in a row that bench one and for how long.
-FIRST_PLACES, FEWEST_PLACES, MOST_PLACES = 6.0, 2.0, 16.0
-GROW, SHRINK = 0.15, 0.9                             # of the places, while all that is out is answered once
+FIRST_PLACES, FEWEST_PLACES, MOST_PLACES = 6.0, 3.0, 16.0
+GROW, SHRINK = 0.25, 0.9                             # of the places, while all that is out is answered once
 BENCH_AFTER, BENCH, LONGEST_BENCH = 3, SECOND // 2, 4 * SECOND
 SLOW_TAU, WORK_TAU, PACE_TAU = 3 * SECOND, 5 * SECOND, 5 * SECOND
 FAILED_AS = 4.0                                       # a failure weighs as an answer this many times too slow
@@ -263,7 +263,8 @@
             tally.put(bucket, -units)
             if not told or not self.set.may_count or (bucket + 3) * tally.length < self.now:
                 continue
-            if self._may_call() or tally.by_open and self.silent < BLIND_AFTER:
+            if (self._may_call() if self.cut_at < self.now - CROWDED_FOR
+                    else tally.by_open and self.silent < BLIND_AFTER):
                 self._call(name, -units, None, customer, tally, bucket)
             else:
                 self.owed[name] = self.owed.get(name, 0.0) - units
@@ -296,7 +297,8 @@
             crowded = self.silent >= BLIND_AFTER or took > CROWDED * self.set.count_timeout
             if self.now >= self.cut_at + self.set.count_timeout:
                 self.cut_at = self.now
-                self.call_pace = max(FEWEST_CALLS, (0.7 if crowded else 0.93) * min(self.call_pace, self.called.read(self.now)))
+                cut = CROWDED_CUT if crowded else LONE_CUT
+                self.call_pace = max(FEWEST_CALLS, cut * min(self.call_pace, self.called.read(self.now)))
             if told.end in NEVER_RAN and units:
                 self.owed[told.name] = self.owed.get(told.name, 0.0) + units
         if req is not None and not req.closed and req.waits == COUNT:
