--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -1,12 +1,12 @@
 """Every decision of a gatekeeper.
 
-Called as `Gatekeeper().step(now, happening)`, which returns the orders to carry out, in their order; the first
-happening is `Launched`. The types of both stand in `fernyard/interface.py`; times are whole tenths of a
+Called as `Gatekeeper().step(now, happening)`, which returns the orders to carry out, in their order; the
+first happening is `Launched`. The types of both stand in `fernyard/interface.py`; times are whole tenths of a
 millisecond. An instance shares nothing with any other and draws its chance from its own seed.
 
 The quota is the Sliding Window-Fixed Rate estimate of docs/design.md: one add a req to the customer's current
-bucket on the shared counter, previous bucket x overlap + total returned against the limit. Each departure says
-in its comment what it guards against, what else it covers and when it does harm.
+bucket on the shared counter, previous bucket x overlap + total returned against the limit. Each departure
+says in its comment what it guards against, what else it covers and when it does harm.
 """
 
 from collections import deque
@@ -22,14 +22,16 @@
 # The quota: bucket length and limit in bursts, and how long a name is kept on the counter.
 BUCKET_BURSTS, LIMIT_BURSTS = 1.25, 1.35
 LONGEST_KEEP = 60 * SECOND
-SHORTEST_BUCKET, LONGEST_BUCKET = SECOND // 2, 20 * SECOND
-# The counter: calls failed in a row until none is waited for; the pace of calls (a second), the time in seconds
-# for which unused calls are kept, how long one failure counts as crowding, and the spread of own counts.
+SHORTEST_BUCKET, LONGEST_BUCKET = SECOND // 2, 18 * SECOND
+# The counter: calls failed in a row until none is waited for; the pace of calls a second and the seconds for
+# which unused ones are kept; the share of the time-out that shows crowding, how a failure cuts the pace then
+# and else, how long it counts as crowded; and the spread of own counts.
 BLIND_AFTER, FEWEST_CALLS, MOST_CALLS, CALL_SPAN = 3, 8.0, 4000.0, 0.2
 CROWDED, CROWDED_CUT, LONE_CUT, CROWDED_FOR, SPREAD = 0.3, 0.7, 0.93, SECOND, 1.0
 ASKED_AT_LEAST = 0.8                                  # of the reqs, before one may be denied without a call
 WELL_OVER = 1.1                                       # times the limit: seen this far over, no call is needed
-# Workers: places at first over all gatekeepers, at least and at most here; failures in a row that bench one and for how long.
+# Workers: places of one at first and at least over all gatekeepers, at most here; failures in a row that
+# bench one, and for how long.
 FIRST_PLACES, FEWEST_PLACES, MOST_PLACES = 6.0, 3.0, 16.0
 GROW, SHRINK = 0.25, 0.9                             # of the places, while all that is out is answered once
 BENCH_AFTER, BENCH, LONGEST_BENCH = 3, SECOND // 2, 4 * SECOND
@@ -37,7 +39,7 @@
 FAILED_AS = 4.0                                       # a failure weighs as an answer this many times too slow
 QUICK, SLOW = 0.3, 0.5                                # shares of the response target that move the places
 ELSEWHERE = 1.1                                       # what a worker in another zone must be better by
-COLD_GAIN = 1.2                                       # work for a cold worker, beside its share of a warm one's
+COLD_GAIN = 1.2                                       # a cold worker's work beside its share of a warm one's
 LAST_START = 1.2                                      # usual answer times that must be left to begin a req
 ANSWER_MARGIN = SECOND // 50                          # before the client timeout, for a req still in line
 TIDY = 10 * SECOND
@@ -65,7 +67,8 @@
 class Tally:
     """What is known of one customer's two buckets: by rate, or of dispatches out."""
 
-    __slots__ = ("by_open", "length", "limit", "bucket", "total", "own", "was", "was_own", "was_known", "share")
+    __slots__ = ("by_open", "length", "limit", "bucket", "total", "own", "was", "was_own", "was_known",
+                 "share")
 
     def __init__(self, by_open, length, limit, doors):
         self.by_open, self.length, self.limit, self.share = by_open, length, limit, 1.0 / doors
@@ -84,7 +87,10 @@
         self.was_known, self.bucket, self.total, self.own = False, bucket, 0.0, 0.0
 
     def overlap(self, now):
-        return 1.0 if self.by_open else 1.0 - (now % self.length) / self.length
+        if self.by_open:
+            # Half a bucket is as long as a dispatch can be out: after it the previous holds only leaks.
+            return 1.0 if now % self.length < self.length // 2 else 0.0
+        return 1.0 - (now % self.length) / self.length
 
     def told(self, bucket, total):
         """A total came back; one below our own standing units shows that the counter lost counts."""
@@ -106,8 +112,8 @@
 
 
 class Req:
-    __slots__ = ("id", "frontend", "customer", "units", "left_at", "target_at", "path", "waits", "counted", "over",
-                 "sent", "out", "first_ran", "long", "group", "closed", "streams", "avoid", "drew", "order")
+    __slots__ = ("id", "frontend", "customer", "units", "left_at", "target_at", "path", "waits", "counted",
+                 "over", "sent", "out", "first_ran", "group", "closed", "streams", "avoid", "drew", "order")
 
 
 class Worker:
@@ -140,7 +146,7 @@
             told = (yield COUNT) if waited_for else None
             if told is not None and told.end is End.PASSED:
                 bucket = self.now // tally.length
-                known = tally.was_known if not tally.by_open else tally.was == 0 and tally.was_known
+                known = tally.was_known and not (tally.by_open and tally.was)
                 if not known and self._estimate(tally, max(tally.was, tally.limit)) > tally.limit:
                     self._call(self._name(customer, tally, bucket - 1), 0.0, req, customer, tally, bucket - 1)
                     yield COUNT
@@ -168,14 +174,19 @@
     def _may_go_again(self, req, frontend):
         if len(req.sent) >= self.set.max_dispatches or req.streams or self.now >= req.left_at:
             return False
-        if not req.first_ran or frontend.repeat is Repeat.REPLAYABLE:
+        if req.first_ran is None or frontend.repeat is Repeat.REPLAYABLE:
             return True
-        return frontend.repeat is Repeat.UNIQUED and self.now < req.first_ran[1] + frontend.window
+        return frontend.repeat is Repeat.UNIQUED and self.now < self._window_end(req)
+
+    def _window_end(self, req):
+        """A uniqued req that may have run goes out again only while its group remembers it."""
+        window = self.set.frontends[req.frontend].window
+        return req.first_ran + window if req.group else req.left_at
 
     def _give_up(self, req):
         """Answer at once. A denial says that trying again is harmless, so a dispatch may have run only if
         repeats are harmless too."""
-        if not req.first_ran or self.set.frontends[req.frontend].repeat is Repeat.REPLAYABLE:
+        if req.first_ran is None or self.set.frontends[req.frontend].repeat is Repeat.REPLAYABLE:
             return self._deny(req, min(self.set.longest_return, SECOND // 2))
         self.orders.append(Abort(req.id))
         return self._close(req)
@@ -326,13 +337,14 @@
         benched = sum(w.benched > self.now for w in workers)
         # When most workers fail the trouble is not theirs: nobody is benched.
         free = [w for w in workers if self._has_place(w, benched * 2 > len(workers))]
-        # Where gatekeepers are many a worker has less than one place for each; the sum over the workers holds.
+        # Where gatekeepers are many a worker has less than one place for each: the sum over workers holds.
         room = self.fill * len(workers) - self.all_out
         self.line.sort(key=lambda req: req.order)
         for req in list(self.line):
             if not free or room <= 0 < self.all_out:
                 return
-            fit = [w for w in free if not req.group or self._in_group(w, req)]
+            fit = [w for w in free
+                   if not req.group or self._in_group(w, req) and self.now < self._window_end(req)]
             if not fit:
                 continue
             best = min(fit, key=lambda w: self._cost(w) * (2.0 if w.id in req.avoid else 1.0))
@@ -351,7 +363,9 @@
             return False
         if worker.started and self.now - worker.started < self.set.warm_up:
             return worker.out < max(1.0, self.fill) and self._cold_credit(worker) > 0
-        return worker.out < (1 if worker.run >= BENCH_AFTER else max(1.0, 2 * self.fill / self._slowness(worker)))
+        if worker.run >= BENCH_AFTER:
+            return worker.out < 1
+        return worker.out < max(1.0, 2 * self.fill / self._slowness(worker))
 
     def _cold_credit(self, worker):
         """A cold worker earns work at its cold share of what a warm one gets from here, and starts with none:
@@ -362,7 +376,8 @@
         if not warm:
             return 1.0 if worker.out < 1 else 0.0
         pace = sum(w.pace.read(self.now) for w in warm) / len(warm) / PACE_TAU
-        share = self.set.cold_share + (1 - self.set.cold_share) * (self.now - worker.started) / self.set.warm_up
+        warmth = (self.now - worker.started) / self.set.warm_up
+        share = self.set.cold_share + (1 - self.set.cold_share) * warmth
         worker.credit = min(worker.credit + COLD_GAIN * share * pace * (self.now - worker.credit_at),
                             max(n.read(self.now) / max(d.read(self.now), 1e-9) for n, d in self.usual))
         worker.credit_at = self.now
@@ -388,14 +403,14 @@
         req.out[len(req.sent)] = worker
         req.sent.append(self.now)
         self.orders.append(Dispatch(req.id, worker.id, max(1, req.left_at - self.now)))
-        self._wake(self.now + int(SLOW * self.set.frontends[req.frontend].target), self._overlong, req, len(req.sent) - 1)
+        long = int(SLOW * self.set.frontends[req.frontend].target)
+        self._wake(self.now + long, self._overlong, req, len(req.sent) - 1)
 
     def _overlong(self, req, dispatch):
         """A dispatch still out after so much of the response target: the places shrink now, not when it ends.
         Holds against anything that slows many workers at once; harms after a run of heavy reqs."""
         worker = req.out.get(dispatch)
         if worker is not None:
-            req.long = True
             self._refill(False)
             worker.slow_sum.add(self.now, (self.now - req.sent[dispatch]) / self._usual(req.frontend))
             worker.slow_n.add(self.now, 1.0)
@@ -415,9 +430,9 @@
             worker.out -= 1
             self.all_out -= 1
             self._judge(worker, req, told)
-        if told.end not in NEVER_RAN and not req.first_ran:
+        if told.end not in NEVER_RAN and req.first_ran is None:
             frontend = self.set.frontends[req.frontend]
-            req.first_ran = (told.dispatch, req.sent[told.dispatch])
+            req.first_ran = req.sent[told.dispatch]
             if frontend.repeat is Repeat.UNIQUED and worker is not None:
                 req.group = (frontend.group, worker.zone if frontend.group is Group.ZONE else worker.cell)
         if told.end is End.PASSED and self.set.settles and told.units and req.counted:
@@ -448,7 +463,8 @@
             total.add(self.now, told.took)
             n.add(self.now, 1.0)
             worker.run, worker.benched = 0, 0
-            if told.took < QUICK * frontend.target and self.all_out + 1 >= 0.5 * self.fill * len(self.workers):
+            used = self.all_out + 1 >= 0.5 * self.fill * len(self.workers)
+            if used and told.took < QUICK * frontend.target:
                 self._refill(True)
         elif told.end not in (End.CANCELLED, End.UNSENT):
             worker.slow_sum.add(self.now, FAILED_AS)
@@ -465,7 +481,7 @@
         self.set, self.random, self.launched = told.settings, Random(told.seed), self.now
         self.workers, self.customers, self.reqs, self.line = {}, {}, {}, []
         self.calls, self.owed, self.silent, self.cut_at = {}, {}, 0, -LONGEST_KEEP
-        self.call_pace, self.tokens, self.tokens_at = MOST_CALLS, 1.0, self.now
+        self.call_pace, self.tokens, self.tokens_at = MOST_CALLS, MOST_CALLS * CALL_SPAN, self.now
         self.called, self.answers, self.answer_time = (Fade(SECOND, self.now) for _ in range(3))
         self.asks, self.arrivals = Fade(WORK_TAU, self.now), Fade(WORK_TAU, self.now)
         self.usual = [(Fade(WORK_TAU, self.now, f.target / 8), Fade(WORK_TAU, self.now, 1.0))
@@ -485,7 +501,7 @@
         req.target_at = self.now + min(told.left, frontend.target)
         req.waits, req.counted, req.over, req.sent, req.out = None, [], 0.0, [], {}
         req.first_ran, req.group, req.closed, req.streams, req.avoid = None, None, False, False, set()
-        req.drew, req.long, req.order = False, False, (0, 0)
+        req.drew, req.order = False, (0, 0)
         customer.reqs += 1
         self.arrived += 1
         self.arrivals.add(self.now, 1.0)
@@ -498,7 +514,8 @@
         if customer is None:
             plan = self.set.plans[told.plan]
             customer = self.customers[told.customer] = Customer()
-            customer.id, customer.plan, customer.doors, customer.reqs = told.customer, told.plan, told.doors, 0
+            customer.id, customer.plan, customer.doors = told.customer, told.plan, told.doors
+            customer.reqs = 0
             customer.store, customer.store_at, customer.promised = 0.0, self.launched, 0.0
             customer.tallies = []
             if plan.rate:
@@ -506,7 +523,7 @@
                 length = min(LONGEST_BUCKET, max(SHORTEST_BUCKET, length))
                 customer.tallies.append(Tally(False, length, LIMIT_BURSTS * plan.burst, told.doors))
             if plan.open:
-                length = min(LONGEST_BUCKET, max(f.timeout for f in self.set.frontends))
+                length = min(LONGEST_KEEP // 3, 2 * max(f.timeout for f in self.set.frontends))
                 customer.tallies.append(Tally(True, length, plan.open, told.doors))
         customer.seen = self.now
         return customer
@@ -524,7 +541,8 @@
             self._wake(self._last_start(req), self._late, req)
 
     def _last_start(self, req):
-        return max(self.now, int(req.target_at - LAST_START * self._usual(req.frontend)))
+        at = int(req.target_at - LAST_START * self._usual(req.frontend))
+        return max(self.now, min(at, self._window_end(req)))
 
     def _late(self, req):
         """A req that can no longer make its response target leaves the line at once. The usual answer time
@@ -615,7 +633,9 @@
 
     def _tidy(self):
         for customer in list(self.customers.values()):
-            if not customer.reqs and self.now - customer.seen > IDLE:
+            plan = self.set.plans[customer.plan]
+            full = not plan.ceiling_rate or self._ceiling(customer) >= plan.ceiling_depth / customer.doors
+            if not customer.reqs and self.now - customer.seen > IDLE and full:
                 del self.customers[customer.id]
         for worker in list(self.workers.values()):
             if not worker.ready and not worker.out:
--- a/fernyard/interface.py
+++ b/fernyard/interface.py
@@ -80,7 +80,6 @@
     zone: int
     must_follow: bool
     max_dispatches: int
-    second_copies: bool
     may_count: bool
     count_timeout: int
     settles: bool
--- a/fernyard/simhost/host.py
+++ b/fernyard/simhost/host.py
@@ -38,7 +38,6 @@
             zone=told.get("zone", 0),
             must_follow=told.get("membershipMode") == "subscribe",
             max_dispatches=allowed.get("mostTries", 1),
-            second_copies=allowed.get("parallelTries", False),
             may_count=extra.get("mayCount", False),
             count_timeout=tenths(extra.get("counterTimeoutMs", 0)),
             settles=extra.get("postPaid", False),
@@ -113,7 +112,8 @@
         if code == codec.ACK_FIRST:
             return i.Streaming(fields[1], fields[2])
         if code == codec.PONG:
-            return i.Probed(fields[1], word(ENDS, fields[2], "outcome"), tenths(fields[3]), codec.floats(extra))
+            _, worker, end, took, _n = fields
+            return i.Probed(worker, word(ENDS, end, "outcome"), tenths(took), codec.floats(extra))
         return i.Heard(fields[1], extra)
 
 
--- /dev/null
+++ b/tests/test_decide.py
@@ -0,0 +1,198 @@
+"""What the decisions guard against, one kept trace a failure."""
+
+from fernyard import interface as i
+
+from .helper import Play, machine
+
+
+class Quota(Play):
+    def test_over_the_estimate_is_denied_and_taken_back(self):
+        self.launch(longest_return=2000 * 10)
+        self.after(1500)
+        self.arrive(1, plan=0)
+        self.answer(3, 0)  # the total, and the previous bucket, read since it decides
+        self.end(1)
+        self.arrive(2, plan=0)
+        self.answer(6, 5)  # over: denied, units taken back
+        self.after(900)
+        self.arrive(3, plan=0)
+        self.answer(1, 5)
+        self.arrive(4, plan=0)
+        self.answer(3)
+        self.kept("quota")
+
+    def test_units_settled_afterwards_ride_on_the_next_add(self):
+        self.launch(settles=True)
+        self.arrive(1, plan=0)
+        self.answer(1, 0)
+        self.end(1, units=3.0)
+        self.arrive(2, plan=0)
+        self.answer(4)
+        self.kept("settled")
+
+    def test_lost_counts_are_not_believed(self):
+        self.launch()
+        self.after(1500)
+        for req in range(1, 7):
+            self.arrive(req, plan=0, doors=1)
+            self.answer(0, 0, 0, 0)  # the counter forgets at every call
+        self.kept("lost_counts")
+
+    def test_silent_counter_stalls_nobody_for_long(self):
+        self.launch()
+        self.after(1500)
+        for req in range(1, 5):
+            self.arrive(req, plan=0, customer=req)
+            self.after(30)
+            while self.calls:
+                self.count(end=i.End.TIMEOUT)
+        for req in range(5, 9):
+            self.arrive(req, plan=0, customer=9)
+        self.after(2000)
+        self.calls.clear()
+        self.kept("silent_counter")
+
+    def test_turned_away_adds_ride_on_the_next(self):
+        self.launch()
+        self.after(1500)
+        self.arrive(1, plan=0)
+        self.count(end=i.End.FULL)
+        self.after(10)
+        self.arrive(2, plan=0)
+        self.kept("turned_away")
+
+    def test_plans_by_open_both_and_neither(self):
+        self.launch()
+        for req in (1, 2, 3):
+            self.arrive(req, plan=1)
+            self.answer(req, 0, 2)
+        self.end(1)
+        self.answer(1)
+        self.arrive(4, plan=4, customer=6)
+        self.answer(1, 0, 1, 0)
+        self.arrive(5, plan=3, customer=7)
+        self.kept("plans")
+
+    def test_no_counter_and_a_req_larger_than_the_limit(self):
+        self.launch(may_count=False)
+        for req, units in ((1, 9.0), (2, 1.0), (3, 1.0), (4, 1.0), (5, 1.0)):
+            self.arrive(req, plan=0, units=units)
+        self.kept("no_counter")
+
+
+class Rules(Play):
+    def test_tight_client_timeout_is_answered_in_time(self):
+        self.launch()
+        self.arrive(1, plan=0, left=60)
+        self.after(60)     # the counter never answers
+        self.roster(machine(1, phase=i.Phase.GONE), machine(2, phase=i.Phase.GONE))
+        self.arrive(2, left=200)
+        self.after(200)    # no worker at all
+        self.kept("tight_timeout")
+
+    def test_late_timer_follows_the_usual_time(self):
+        self.launch(machine(1))
+        self.arrive(1)
+        self.end(1, took=8000)
+        self.roster(machine(1, phase=i.Phase.DRAINING))
+        self.arrive(2)
+        self.gatekeeper.usual[0][0].sum = 10.0
+        self.after(3000)
+        self.kept("late_timer")
+
+    def test_uniqued_that_may_have_run_stays_in_its_group(self):
+        self.launch(machine(1), machine(2, cell=1), machine(3))
+        self.arrive(1, frontend=1)
+        first = self.gatekeeper.reqs[1].out[0].id
+        self.end(1, i.End.ERROR, worker=first)
+        second = self.gatekeeper.reqs[1].out[1].id
+        self.after(900)    # beyond the window
+        self.end(1, i.End.RESET, worker=second)
+        self.arrive(2, frontend=1)
+        self.roster(*(machine(n, cell=n == 2, phase=i.Phase.DRAINING) for n in (1, 2, 3)))
+        self.end(2, i.End.ERROR, worker=self.gatekeeper.reqs[2].out[0].id)
+        self.after(3000)
+        self.kept("uniqued")
+
+    def test_non_replayable_goes_again_only_if_it_never_ran(self):
+        self.launch(machine(1))
+        self.arrive(1, frontend=2)
+        self.end(1, i.End.FULL)
+        self.end(1, i.End.TIMEOUT)
+        self.arrive(2, frontend=2)
+        for _ in range(3):
+            self.end(2, i.End.NO_CONNECTION)
+        self.kept("non_replayable")
+
+    def test_drain_told_while_work_waits(self):
+        self.launch(machine(1))
+        for req in range(1, 9):
+            self.arrive(req)
+        self.roster(machine(1, phase=i.Phase.DRAINING))
+        self.end(1)
+        self.after(1000)
+        self.kept("drain")
+
+    def test_cold_worker_under_a_full_line(self):
+        self.launch(machine(1), machine(2))
+        for req in range(1, 41):
+            self.arrive(req)
+            self.after(20)
+        self.roster(machine(2, started=self.now))
+        for step in range(30):
+            for req in [r.id for r in self.gatekeeper.reqs.values() if r.out and r.sent]:
+                self.end(req, worker=next(iter(self.gatekeeper.reqs[req].out.values())).id)
+            for extra in range(3):
+                self.arrive(100 + 3 * step + extra)
+            self.after(100)
+        self.kept("cold_worker")
+
+    def test_ceiling_with_the_counter_silent_and_after_a_restart(self):
+        for life in (1, 2):
+            self.launch(may_count=False)
+            self.lines.append(f"life {life}")
+            for req in range(1, 6):
+                self.arrive(req, plan=2, left=900)
+                self.after(300)
+            if life == 1:
+                first = self.lines
+        self.lines = first + self.lines
+        self.kept("ceiling")
+
+
+class Workers(Play):
+    def test_failures_in_a_row_bench_a_worker(self):
+        self.launch(machine(1), machine(2), machine(3))
+        for req in range(1, 13):
+            self.arrive(req)
+            while out := self.gatekeeper.reqs[req].out if req in self.gatekeeper.reqs else None:
+                worker = next(iter(out.values())).id
+                self.end(req, i.End.ERROR if worker == 1 else i.End.PASSED, worker=worker)
+        self.kept("benched")
+
+    def test_overlong_dispatches_shrink_the_places(self):
+        self.launch(machine(1))
+        for req in range(1, 9):
+            self.arrive(req)
+        before = self.gatekeeper.fill
+        self.after(600)
+        self.assertLess(self.gatekeeper.fill, before)
+        self.kept("overlong")
+
+    def test_stale_list_stream_and_late_events(self):
+        self.launch(machine(1), machine(2))
+        self.roster(machine(2), news=i.News.WHOLE)
+        self.arrive(1)
+        self.tell(i.Streaming(1, 0), "req 1 streams")
+        self.after(3500)
+        self.tell(i.Left(1), "client of req 1 left")
+        self.end(1, i.End.RESET, worker=2)
+        self.tell(i.Left(99), "client of an unknown req left")
+        self.tell(i.Roster(i.News.FAILED), "roster failed")
+        self.kept("stale_list")
+
+    def test_must_follow_asks_again(self):
+        self.launch(must_follow=True)
+        self.tell(i.Roster(i.News.FAILED), "roster failed")
+        self.after(1500)
+        self.kept("must_follow")
