--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -27,7 +27,7 @@
 # which unused ones are kept; the share of the time-out that shows crowding, how a failure cuts the pace then
 # and else, how long it counts as crowded; and the spread of own counts.
 BLIND_AFTER, FEWEST_CALLS, MOST_CALLS, CALL_SPAN = 3, 8.0, 4000.0, 0.2
-CROWDED, CROWDED_CUT, LONE_CUT, CROWDED_FOR, SPREAD = 0.3, 0.7, 0.93, SECOND, 1.0
+CROWDED, CROWDED_CUT, LONE_CUT, CROWDED_FOR, SPREAD = 0.3, 0.7, 0.93, SECOND, 0.5
 ASKED_AT_LEAST = 0.8                                  # of the reqs, before one may be denied without a call
 WELL_OVER = 1.1                                       # times the limit: seen this far over, no call is needed
 # Workers: places of one at first and at least over all gatekeepers, at most here; failures in a row that
