A frontend idle for long keeps a usual answer time; overlap is taken in the add's bucket

Cause, found by reading: the decaying sums of a frontend with no answers for hours run to nothing, and the next overlong dispatch divided by it; and a count answered after its bucket's end was weighed in the next. Units owed are bounded through a long silence.

--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -28,6 +28,7 @@
 # and else, how long it counts as crowded; and the spread of own counts.
 BLIND_AFTER, FEWEST_CALLS, MOST_CALLS, CALL_SPAN = 3, 8.0, 4000.0, 0.2
 CROWDED, CROWDED_CUT, LONE_CUT, CROWDED_FOR, SPREAD = 0.3, 0.7, 0.93, SECOND, 0.5
+MOST_OWED = 5000                                      # names with units owed, through a long silence
 ASKED_AT_LEAST = 0.8                                  # of the reqs, before one may be denied without a call
 WELL_OVER = 1.1                                       # times the limit: seen this far over, no call is needed
 # Workers: places of one at first and at least over all gatekeepers, at most here; failures in a row that
@@ -40,6 +41,7 @@
 QUICK, SLOW = 0.3, 0.5                                # shares of the response target that move the places
 ELSEWHERE = 1.1                                       # what a worker in another zone must be better by
 COLD_GAIN = 1.2                                       # a cold worker's work beside its share of a warm one's
+GUESS, GUESS_WEIGHT = 0.125, 0.2                      # of the response target, in answers, until some tell
 LAST_START = 1.2                                      # usual answer times that must be left to begin a req
 ANSWER_MARGIN = SECOND // 50                          # before the client timeout, for a req still in line
 TIDY = 10 * SECOND
@@ -67,9 +69,6 @@
 class Tally:
     """What is known of one customer's two buckets: by rate, or of dispatches out."""
 
-    __slots__ = ("by_open", "length", "limit", "bucket", "total", "own", "was", "was_own", "was_known",
-                 "share")
-
     def __init__(self, by_open, length, limit, doors):
         self.by_open, self.length, self.limit, self.share = by_open, length, limit, 1.0 / doors
         self.bucket, self.total, self.own = -2, 0.0, 0.0
@@ -87,10 +86,9 @@
         self.was_known, self.bucket, self.total, self.own = False, bucket, 0.0, 0.0
 
     def overlap(self, now):
-        if self.by_open:
-            # Half a bucket is as long as a dispatch can be out: after it the previous holds only leaks.
-            return 1.0 if now % self.length < self.length // 2 else 0.0
-        return 1.0 - (now % self.length) / self.length
+        into = min(1.0, now / self.length - self.bucket)
+        # By open, half a bucket is as long as a dispatch can be out: then the previous holds only leaks.
+        return float(into < 0.5) if self.by_open else 1.0 - into
 
     def told(self, bucket, total):
         """A total came back; one below our own standing units shows that the counter lost counts."""
@@ -108,17 +106,15 @@
 
 
 class Customer:
-    __slots__ = ("id", "plan", "doors", "tallies", "store", "store_at", "promised", "reqs", "seen")
+    """One customer: its plan, its tallies and its part of the ceiling."""
 
 
 class Req:
-    __slots__ = ("id", "frontend", "customer", "units", "left_at", "target_at", "path", "waits", "counted",
-                 "over", "sent", "out", "first_ran", "group", "closed", "streams", "avoid", "drew", "order")
+    """One req, from its arrival to the end of its last dispatch."""
 
 
 class Worker:
-    __slots__ = ("id", "cell", "zone", "started", "ready", "out", "run", "benched", "slow_sum", "slow_n",
-                 "pace", "credit", "credit_at")
+    """What outcomes here have told of one life of a worker."""
 
 
 class Gatekeeper:
@@ -145,7 +141,7 @@
             waited_for = self._ask(req, customer, tally, units)
             told = (yield COUNT) if waited_for else None
             if told is not None and told.end is End.PASSED:
-                bucket = self.now // tally.length
+                bucket = tally.bucket
                 known = tally.was_known and not (tally.by_open and tally.was)
                 if not known and self._estimate(tally, max(tally.was, tally.limit)) > tally.limit:
                     self._call(self._name(customer, tally, bucket - 1), 0.0, req, customer, tally, bucket - 1)
@@ -189,7 +185,7 @@
         if req.first_ran is None or self.set.frontends[req.frontend].repeat is Repeat.REPLAYABLE:
             return self._deny(req, min(self.set.longest_return, SECOND // 2))
         self.orders.append(Abort(req.id))
-        return self._close(req)
+        self._close(req)
 
     def _deny(self, req, return_in=0):
         self.orders.append(Deny(req.id, max(0, min(self.set.longest_return, return_in))))
@@ -203,17 +199,15 @@
     def _estimate(self, tally, was=None):
         return (tally.was if was is None else was) * tally.overlap(self.now) + tally.total
 
-    def _own_estimate(self, tally):
-        return tally.was_own * tally.overlap(self.now) + tally.own
-
     def _over_unasked(self, customer, tally, units):
         """Without an answer: what the last total makes sure of, and our share of the limit on own counts,
         with the spread that chance gives so small a number."""
-        ours = max(tally.share, 1.0 / customer.doors) * tally.limit
         if not tally.by_open and self._estimate(tally) > tally.limit:
             return True
+        ours = max(tally.share, 1.0 / customer.doors) * tally.limit
+        own = tally.was_own * tally.overlap(self.now) + tally.own
         # Where doors are many the share is less than one req: the first is let in all the same.
-        return self._own_estimate(tally) > max(units, ours + SPREAD * ours ** 0.5)
+        return own > max(units, ours + SPREAD * ours ** 0.5)
 
     def _surely_over(self, tally, units):
         """Denial without a call for a customer just seen well over: spares a counter that refused clients
@@ -234,7 +228,7 @@
 
     def _ask(self, req, customer, tally, units):
         """Add the req's units to its bucket. False: decide now, on own counts (see `_counted`)."""
-        bucket = self.now // tally.length
+        bucket = tally.bucket
         name = self._name(customer, tally, bucket)
         tally.put(bucket, units)
         req.counted.append((customer, tally, bucket, units, True))
@@ -245,13 +239,12 @@
                 # A +1 told late would only need its -1 told too: this dispatch stays on own counts.
                 req.counted[-1] = (customer, tally, bucket, units, False)
             else:
-                self.owed[name] = self.owed.get(name, 0.0) + units
+                self._owe(name, units)
             return False
-        if self.silent >= BLIND_AFTER:
-            req = None
+        waits = self.silent < BLIND_AFTER
         self.asks.add(self.now, 1.0)
-        self._call(name, units, req, customer, tally, bucket)
-        return req is not None
+        self._call(name, units, req if waits else None, customer, tally, bucket)
+        return waits
 
     def _may_call(self):
         """Calls are paced by what the counter answers: each failure cuts the pace, each answer raises it."""
@@ -279,7 +272,7 @@
                     else tally.by_open and self.silent < BLIND_AFTER):
                 self._call(name, -units, None, customer, tally, bucket)
             else:
-                self.owed[name] = self.owed.get(name, 0.0) - units
+                self._owe(name, -units)
         req.counted = []
 
     def _counted(self, told):
@@ -300,9 +293,7 @@
             if self.owed and self.cut_at < self.now - CROWDED_FOR:
                 name = next(iter(self.owed))
                 if name not in self.calls:
-                    owed = self.owed.pop(name)
-                    self.calls[name] = deque([(None, customer, tally, -9, owed)])
-                    self.orders.append(Add(name, owed, LONGEST_KEEP // 2))
+                    self._call(name, 0.0, None, customer, tally, -9)
         else:
             self.silent += 1
             took = self.answer_time.read(self.now) / max(self.answers.read(self.now), 1e-9)
@@ -312,7 +303,7 @@
                 cut = CROWDED_CUT if crowded else LONE_CUT
                 self.call_pace = max(FEWEST_CALLS, cut * min(self.call_pace, self.called.read(self.now)))
             if told.end in NEVER_RAN and units:
-                self.owed[told.name] = self.owed.get(told.name, 0.0) + units
+                self._owe(told.name, units)
         if req is not None and not req.closed and req.waits == COUNT:
             self._resume(req, told)
 
@@ -364,23 +355,21 @@
             return False
         if worker.started and self.now - worker.started < self.set.warm_up:
             return worker.out < max(1.0, self.fill) and self._cold_credit(worker) > 0
-        if worker.run >= BENCH_AFTER:
-            return worker.out < 1
-        return worker.out < max(1.0, 2 * self.fill / self._slowness(worker))
+        trial = worker.run >= BENCH_AFTER
+        return worker.out < (1.0 if trial else max(1.0, 2 * self.fill / self._slowness(worker)))
 
     def _cold_credit(self, worker):
         """A cold worker earns work at its cold share of what a warm one gets from here, and starts with none:
         all gatekeepers together then stay under what it can do without knowing of each other. Also covers
         a worker that restarts again and again. Harms when most workers are cold at once: see the floor."""
-        warm = [w for w in self.workers.values() if w.ready
-                and (not w.started or self.now - w.started >= self.set.warm_up)]
+        since = self.now - self.set.warm_up
+        warm = [w for w in self.workers.values() if w.ready and (not w.started or w.started <= since)]
         if not warm:
             return 1.0 if worker.out < 1 else 0.0
         pace = sum(w.pace.read(self.now) for w in warm) / len(warm) / PACE_TAU
-        warmth = (self.now - worker.started) / self.set.warm_up
-        share = self.set.cold_share + (1 - self.set.cold_share) * warmth
+        share = 1 - (1 - self.set.cold_share) * (worker.started - since) / self.set.warm_up
         worker.credit = min(worker.credit + COLD_GAIN * share * pace * (self.now - worker.credit_at),
-                            max(n.read(self.now) / max(d.read(self.now), 1e-9) for n, d in self.usual))
+                            max(self._usual(n) for n in range(len(self.usual))))
         worker.credit_at = self.now
         return worker.credit
 
@@ -392,8 +381,10 @@
         return self._slowness(worker) * (worker.out + 1.0) * away * (1.0 + 0.05 * self.random.random())
 
     def _usual(self, frontend):
+        """The usual answer time; a frontend long idle falls back on a guess instead of on nothing."""
         total, n = self.usual[frontend]
-        return total.read(self.now) / max(n.read(self.now), 1e-9)
+        guess = GUESS * self.set.frontends[frontend].target
+        return (total.read(self.now) + GUESS_WEIGHT * guess) / (n.read(self.now) + GUESS_WEIGHT)
 
     def _dispatch(self, req, worker):
         work = self._usual(req.frontend)
@@ -422,7 +413,6 @@
         self.fill = min(MOST_PLACES, max(FEWEST_PLACES / self.set.gatekeepers, self.fill * step))
 
     def _ended(self, told):
-        """Books the outcome of a dispatch, whether its req is still open or not."""
         req = self.reqs.get(told.req)
         if req is None:
             return
@@ -449,10 +439,13 @@
     def _settle(self, req, units):
         """The true units are told with the answer: the difference rides on the next add."""
         for customer, tally, bucket, _, _ in req.counted:
-            if not tally.by_open and units != req.units:
-                name = self._name(customer, tally, bucket)
+            if not tally.by_open:
                 tally.put(bucket, units - req.units)
-                self.owed[name] = self.owed.get(name, 0.0) + units - req.units
+                self._owe(self._name(customer, tally, bucket), units - req.units)
+
+    def _owe(self, name, units):
+        """Units known not added ride on the next add to the name."""
+        self.owed[name] = self.owed.get(name, 0.0) + units
 
     def _judge(self, worker, req, told):
         """A worker is judged by failures in a row; how slow it is, by its answers beside the usual."""
@@ -485,8 +478,7 @@
         self.call_pace, self.tokens, self.tokens_at = MOST_CALLS, MOST_CALLS * CALL_SPAN, self.now
         self.called, self.answers, self.answer_time = (Fade(SECOND, self.now) for _ in range(3))
         self.asks, self.arrivals = Fade(WORK_TAU, self.now), Fade(WORK_TAU, self.now)
-        self.usual = [(Fade(WORK_TAU, self.now, f.target / 8), Fade(WORK_TAU, self.now, 1.0))
-                      for f in self.set.frontends]
+        self.usual = [(Fade(WORK_TAU, self.now), Fade(WORK_TAU, self.now)) for _ in self.set.frontends]
         self.wakes, self.token, self.arrived = {}, 0, 0
         self.fill, self.all_out = FIRST_PLACES / self.set.gatekeepers, 0
         if self.set.must_follow:
@@ -504,7 +496,6 @@
         req.first_ran, req.group, req.closed, req.streams, req.avoid = None, None, False, False, set()
         req.drew, req.order = False, (0, 0)
         customer.reqs += 1
-        self.arrived += 1
         self.arrivals.add(self.now, 1.0)
         req.path = self._path(req)
         self._wake(req.left_at - ANSWER_MARGIN, self._overdue, req)
@@ -530,7 +521,6 @@
         return customer
 
     def _resume(self, req, told):
-        """Runs the path of a req to its next wait."""
         try:
             req.waits = req.path.send(told)
         except StopIteration:
@@ -583,45 +573,40 @@
         self._take_back(req)
 
     def _left(self, told):
-        req = self.reqs.get(told.req)
-        if req is not None:
-            self._close(req)
+        if told.req in self.reqs:
+            self._close(self.reqs[told.req])
 
     def _streaming(self, told):
-        req = self.reqs.get(told.req)
-        if req is not None:
-            req.streams = True
+        if told.req in self.reqs:
+            self.reqs[told.req].streams = True
 
     def _roster(self, told):
         """From the moment of being told, nothing new goes to a worker that drains or is gone."""
         if told.news is News.FAILED:
-            return self._wake(self.now + SECOND, self._follow) if self.set.must_follow else None
+            if self.set.must_follow:
+                self._wake(self.now + SECOND, lambda: self.orders.append(Follow(True)))
+            return
         named = set()
         for machine in told.machines:
             named.add(machine.worker)
             worker = self.workers.get(machine.worker)
             if worker is None or worker.started != machine.started:
-                worker = self._new_worker(machine, worker)
+                worker = self._new_worker(machine)
             worker.ready = machine.phase is Phase.READY
         for worker in self.workers.values():
             if told.news is not News.CHANGES and worker.id not in named:
                 worker.ready = False
-        return None
 
-    def _new_worker(self, machine, before):
+    def _new_worker(self, machine):
         worker = self.workers[machine.worker] = Worker()
-        worker.id, worker.cell, worker.zone, worker.started = (machine.worker, machine.cell, machine.zone,
-                                                               machine.started)
-        worker.out, worker.run, worker.benched = 0, 0, 0
+        worker.id, worker.cell, worker.zone = machine.worker, machine.cell, machine.zone
+        worker.started, worker.out, worker.run, worker.benched = machine.started, 0, 0, 0
         worker.slow_sum, worker.slow_n = Fade(SLOW_TAU, self.now), Fade(SLOW_TAU, self.now)
         worker.pace, worker.credit, worker.credit_at = Fade(PACE_TAU, self.now), 0.0, self.now
         return worker
 
-    def _follow(self):
-        self.orders.append(Follow(True))
-
     def _nothing(self, *_):
-        """Nothing to do: the line is served after every step."""
+        pass
 
     def _wake(self, at, call, *args):
         self.token += 1
@@ -636,8 +621,10 @@
         for customer in list(self.customers.values()):
             plan = self.set.plans[customer.plan]
             full = not plan.ceiling_rate or self._ceiling(customer) >= plan.ceiling_depth / customer.doors
-            if not customer.reqs and self.now - customer.seen > IDLE and full:
+            if full and not customer.reqs and self.now - customer.seen > IDLE:
                 del self.customers[customer.id]
+        while len(self.owed) > MOST_OWED:
+            del self.owed[next(iter(self.owed))]
         for worker in list(self.workers.values()):
             if not worker.ready and not worker.out:
                 del self.workers[worker.id]
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -74,7 +74,10 @@
         while due := sorted(w for w in self.wakes if w[0] <= end):
             self.wakes.remove(due[0])
             self.now = max(self.now, due[0][0])
+            mark = len(self.lines)
             self.tell(i.Woke(due[0][1]))
+            if len(self.lines) > mark:
+                self.lines.insert(mark, f"{(self.now - self.begun) / MS:8.1f}  a timer")
         self.now = end
 
     def arrive(self, req, plan=3, frontend=0, left=3000, units=1.0, customer=5, doors=2):
