Slowness, group place and the most-fail check are each written once

No change of conduct: a worker books its own slowness and gives its place in a group, the check for most workers failing is made once a serving, an unused start of the decaying sums is gone.

--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -34,7 +34,7 @@
 # Workers: places of one at first and at least over all gatekeepers, at most here; failures in a row that
 # bench one, and for how long.
 FIRST_PLACES, FEWEST_PLACES, MOST_PLACES = 6.0, 3.0, 16.0
-GROW, SHRINK = 0.25, 0.9                             # of the places, while all that is out is answered once
+GROW, SHRINK = 0.25, 0.9                              # of the places, while all that is out is answered once
 BENCH_AFTER, BENCH, LONGEST_BENCH = 3, SECOND // 2, 4 * SECOND
 SLOW_TAU, WORK_TAU, PACE_TAU = 3 * SECOND, 5 * SECOND, 5 * SECOND
 FAILED_AS = 4.0                                       # a failure weighs as an answer this many times too slow
@@ -53,8 +53,8 @@
 
     __slots__ = ("tau", "sum", "at")
 
-    def __init__(self, tau, now, start=0.0):
-        self.tau, self.at, self.sum = tau, now, start
+    def __init__(self, tau, now):
+        self.tau, self.at, self.sum = tau, now, 0.0
 
     def read(self, now):
         if now > self.at:
@@ -116,6 +116,14 @@
 class Worker:
     """What outcomes here have told of one life of a worker."""
 
+    def took(self, now, times):
+        """An answer, or what weighs as one, this many times the usual."""
+        self.slow_sum.add(now, times)
+        self.slow_n.add(now, 1.0)
+
+    def place(self, group):
+        return self.zone if group is Group.ZONE else self.cell
+
 
 class Gatekeeper:
     def step(self, now, told):
@@ -326,9 +334,9 @@
     def _serve_line(self):
         """Whenever a place is free the next piece gets it: customers that use least of their quota first."""
         workers = [w for w in self.workers.values() if w.ready]
-        benched = sum(w.benched > self.now for w in workers)
         # When most workers fail the trouble is not theirs: nobody is benched.
-        free = [w for w in workers if self._has_place(w, benched * 2 > len(workers))]
+        most_fail = 2 * sum(w.benched > self.now for w in workers) > len(workers)
+        free = [w for w in workers if self._has_place(w, most_fail)]
         # Where gatekeepers are many a worker has less than one place for each: the sum over workers holds.
         room = self.fill * len(workers) - self.all_out
         self.line.sort(key=lambda req: req.order)
@@ -343,15 +351,15 @@
             self.line.remove(req)
             self._resume(req, best)
             room -= 1
-            if not self._has_place(best, benched * 2 > len(workers)):
+            if not self._has_place(best, most_fail):
                 free.remove(best)
 
     def _in_group(self, worker, req):
         group, place = req.group
-        return group is Group.ALL or place == (worker.zone if group is Group.ZONE else worker.cell)
+        return group is Group.ALL or place == worker.place(group)
 
-    def _has_place(self, worker, all_fail):
-        if worker.benched > self.now and not all_fail:
+    def _has_place(self, worker, most_fail):
+        if worker.benched > self.now and not most_fail:
             return False
         if worker.started and self.now - worker.started < self.set.warm_up:
             return worker.out < max(1.0, self.fill) and self._cold_credit(worker) > 0
@@ -404,8 +412,7 @@
         worker = req.out.get(dispatch)
         if worker is not None:
             self._refill(False)
-            worker.slow_sum.add(self.now, (self.now - req.sent[dispatch]) / self._usual(req.frontend))
-            worker.slow_n.add(self.now, 1.0)
+            worker.took(self.now, (self.now - req.sent[dispatch]) / self._usual(req.frontend))
 
     def _refill(self, quick):
         """The places of a worker, learned from all outcomes here: one worker alone answers too seldom."""
@@ -425,7 +432,7 @@
             frontend = self.set.frontends[req.frontend]
             req.first_ran = req.sent[told.dispatch]
             if frontend.repeat is Repeat.UNIQUED and worker is not None:
-                req.group = (frontend.group, worker.zone if frontend.group is Group.ZONE else worker.cell)
+                req.group = (frontend.group, worker.place(frontend.group))
         if told.end is End.PASSED and self.set.settles and told.units and req.counted:
             self._settle(req, told.units)
         if told.closed:
@@ -451,8 +458,7 @@
         """A worker is judged by failures in a row; how slow it is, by its answers beside the usual."""
         if told.end is End.PASSED:
             frontend = self.set.frontends[req.frontend]
-            worker.slow_sum.add(self.now, min(10.0, told.took / max(self._usual(req.frontend), 1.0)))
-            worker.slow_n.add(self.now, 1.0)
+            worker.took(self.now, min(10.0, told.took / max(self._usual(req.frontend), 1.0)))
             total, n = self.usual[req.frontend]
             total.add(self.now, told.took)
             n.add(self.now, 1.0)
@@ -461,8 +467,7 @@
             if used and told.took < QUICK * frontend.target:
                 self._refill(True)
         elif told.end not in (End.CANCELLED, End.UNSENT):
-            worker.slow_sum.add(self.now, FAILED_AS)
-            worker.slow_n.add(self.now, 1.0)
+            worker.took(self.now, FAILED_AS)
             worker.run += 1
             self._refill(False)
             if worker.run >= BENCH_AFTER:
