Workers kept in order instead of ranked for each req; calls in parts; promises at the ceiling

Changes: workers stand in an order kept up at each outcome, a req looks at the first 8 with a place; calls are made for a part of what is wanted, raised by answers and cut by slow or failed ones, the same at any number of gatekeepers, first reqs of a customer in a bucket ahead; no reads of the previous bucket and no takes-back while crowded; a cold worker starts owing a part of a piece drawn by chance, so that hundreds of gatekeepers do not send their first piece at once; a promise is freed only by its own req (test: ceiling_promise).

Also covers a restarting or slow counter. Harms: while crowded, two buckets in a row may both fill; a lone lost call cuts a little.

--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -5,32 +5,32 @@
 millisecond. An instance shares nothing with any other and draws its chance from its own seed.
 
 The quota is the Sliding Window-Fixed Rate estimate of docs/design.md: one add a req to the customer's current
-bucket on the shared counter, previous bucket x overlap + total returned against the limit. Each departure
-says in its comment what it guards against, what else it covers and when it does harm.
+bucket on the shared counter, previous bucket x overlap + total returned against the limit.
 """
 
+from bisect import insort
 from collections import deque
+from itertools import islice
 from math import exp
 from random import Random
 
 from .interface import (NEVER_RAN, Abort, Add, Arrived, Counted, Deny, Dispatch, End, Ended, Follow, Group,
-                        Heard, Launched, Left, News, Phase, Probed, Repeat, Roster, Streaming, Wake, Woke)
+                        Launched, Left, News, Phase, Repeat, Roster, Streaming, Wake, Woke)
 
 SECOND = 10_000
 COUNT, PLACE, OUTCOME = "count", "place", "outcome"   # what the path of a req waits for
-
 # The quota: bucket length and limit in bursts, and how long a name is kept on the counter.
 BUCKET_BURSTS, LIMIT_BURSTS = 1.25, 1.35
 LONGEST_KEEP = 60 * SECOND
 SHORTEST_BUCKET, LONGEST_BUCKET = SECOND // 2, 18 * SECOND
-# The counter: calls failed in a row until none is waited for; the pace of calls a second and the seconds for
-# which unused ones are kept; the share of the time-out that shows crowding, how a failure cuts the pace then
-# and else, how long it counts as crowded; and the spread of own counts.
-BLIND_AFTER, FEWEST_CALLS, MOST_CALLS, CALL_SPAN = 3, 8.0, 4000.0, 0.2
-CROWDED, CROWDED_CUT, LONE_CUT, CROWDED_FOR, SPREAD = 0.3, 0.7, 0.93, SECOND, 0.5
+# The counter: calls failed in a row until none is waited for; the part of the wanted calls that is made, at
+# least, what an answer adds to it and what a slow answer, a lone failure and one in a crowd leave of it, and
+# below which the counter counts as crowded; the share of the time-out that makes an answer slow; calls that
+# may be made ahead of their credit; and the spread of own counts.
+BLIND_AFTER, LEAST_PART, RAISE, PART_SEEN = 3, 0.1, 0.02, 0.5
+SLOW_CUT, LONE_CUT, CROWD_CUT, CROWDED, SLOW_CALL, AHEAD, SPREAD = 0.95, 0.97, 0.85, 0.9, 0.3, 3.0, 0.5
 MOST_OWED = 5000                                      # names with units owed, through a long silence
-ASKED_AT_LEAST = 0.8                                  # of the reqs, before one may be denied without a call
-WELL_OVER = 1.1                                       # times the limit: seen this far over, no call is needed
+WELL_OVER, ASKED_AT_LEAST = 1.1, 0.8                  # limits, parts of reqs: to deny one without a call
 # Workers: places of one at first and at least over all gatekeepers, at most here; failures in a row that
 # bench one, and for how long.
 FIRST_PLACES, FEWEST_PLACES, MOST_PLACES = 6.0, 3.0, 16.0
@@ -39,31 +39,35 @@
 SLOW_TAU, WORK_TAU, PACE_TAU = 3 * SECOND, 5 * SECOND, 5 * SECOND
 FAILED_AS = 4.0                                       # a failure weighs as an answer this many times too slow
 QUICK, SLOW = 0.25, 0.4                               # shares of the response target that move the places
-ELSEWHERE = 1.1                                       # what a worker in another zone must be better by
+ELSEWHERE, DRAWN = 1.1, 8                             # cost of another zone; workers looked at for a req
 COLD_GAIN = 1.2                                       # a cold worker's work beside its share of a warm one's
 GUESS, GUESS_WEIGHT = 0.125, 0.2                      # of the response target, in answers, until some tell
 LAST_START = 1.2                                      # usual answer times that must be left to begin a req
 ANSWER_MARGIN = SECOND // 50                          # before the client timeout, for a req still in line
-TIDY = 10 * SECOND
-IDLE = 70 * SECOND                                    # beyond any bucket kept and any ceiling filled
+TIDY, IDLE = 10 * SECOND, 70 * SECOND                 # beyond any bucket kept and any ceiling filled
 
 
-class Fade:
-    """A sum that decays over `tau`, brought up to date when it is read."""
+class Mean:
+    """A mean over the last `tau` or so, brought up to date when it is read; it begins as `weight` values of
+    `start`, which never fade."""
 
-    __slots__ = ("tau", "sum", "at")
+    __slots__ = ("tau", "at", "sum", "n", "start", "weight")
 
-    def __init__(self, tau, now):
-        self.tau, self.at, self.sum = tau, now, 0.0
+    def __init__(self, tau, now, start=0.0, weight=1.0):
+        self.tau, self.at, self.sum, self.n, self.start, self.weight = tau, now, 0.0, 0.0, start, weight
 
-    def read(self, now):
+    def total(self, now):
         if now > self.at:
-            self.sum *= exp((self.at - now) / self.tau)
-            self.at = now
+            left = exp((self.at - now) / self.tau)
+            self.sum, self.n, self.at = self.sum * left, self.n * left, now
         return self.sum
 
-    def add(self, now, amount):
-        self.sum = self.read(now) + amount
+    def add(self, now, value):
+        self.sum = self.total(now) + value
+        self.n += 1.0
+
+    def read(self, now):
+        return (self.total(now) + self.start * self.weight) / (self.n + self.weight)
 
 
 class Tally:
@@ -116,21 +120,15 @@
 class Worker:
     """What outcomes here have told of one life of a worker."""
 
-    def took(self, now, times):
-        """An answer, or what weighs as one, this many times the usual."""
-        self.slow_sum.add(now, times)
-        self.slow_n.add(now, 1.0)
-
     def place(self, group):
-        return self.zone if group is Group.ZONE else self.cell
+        return {Group.ZONE: self.zone, Group.CELL: self.cell}.get(group)
 
 
 class Gatekeeper:
     def step(self, now, told):
         self.now, self.orders = now, []
-        HEAR[type(told)](self, told)
-        if self.line:
-            self._serve_line()
+        HEAR.get(type(told), Gatekeeper._nothing)(self, told)
+        self._serve_line()
         return self.orders
 
     # The path of a req -------------------------------------------------------------------------------------
@@ -140,7 +138,8 @@
         customer, frontend = req.customer, self.set.frontends[req.frontend]
         if self._ceiling(customer) - customer.promised < req.units:
             return self._deny(req)
-        customer.promised += req.units
+        req.promised = req.units
+        customer.promised += req.promised
         for tally in customer.tallies:
             tally.roll(self.now)
             if self._surely_over(tally, req.units):
@@ -151,8 +150,9 @@
             if told is not None and told.end is End.PASSED:
                 bucket = tally.bucket
                 known = tally.was_known and not (tally.by_open and tally.was)
-                if not known and self._estimate(tally, max(tally.was, tally.limit)) > tally.limit:
-                    self._call(self._name(customer, tally, bucket - 1), 0.0, req, customer, tally, bucket - 1)
+                decides = self._estimate(tally, max(tally.was, tally.limit)) > tally.limit
+                if decides and not known and self.part > CROWDED:
+                    self._call(0.0, req, customer, tally, bucket - 1)
                     yield COUNT
                 over = self._estimate(tally) > tally.limit
             else:
@@ -165,9 +165,9 @@
             if worker is None:
                 return self._give_up(req)
             if not req.sent:
-                customer.promised -= req.units
-                customer.store -= req.units
-                req.drew = True
+                customer.promised -= req.promised
+                customer.store -= req.promised
+                req.promised = 0.0
             self._dispatch(req, worker)
             ended = yield OUTCOME
             if ended.end is End.PASSED:
@@ -178,14 +178,12 @@
     def _may_go_again(self, req, frontend):
         if len(req.sent) >= self.set.max_dispatches or req.streams or self.now >= req.left_at:
             return False
-        if req.first_ran is None or frontend.repeat is Repeat.REPLAYABLE:
-            return True
-        return frontend.repeat is Repeat.UNIQUED and self.now < self._window_end(req)
+        uniqued = frontend.repeat is Repeat.UNIQUED and self.now < self._window_end(req)
+        return req.first_ran is None or frontend.repeat is Repeat.REPLAYABLE or uniqued
 
     def _window_end(self, req):
         """A uniqued req that may have run goes out again only while its group remembers it."""
-        window = self.set.frontends[req.frontend].window
-        return req.first_ran + window if req.group else req.left_at
+        return req.first_ran + self.set.frontends[req.frontend].window if req.group else req.left_at
 
     def _give_up(self, req):
         """Answer at once. A denial says that trying again is harmless, so a dispatch may have run only if
@@ -220,9 +218,11 @@
     def _surely_over(self, tally, units):
         """Denial without a call for a customer just seen well over: spares a counter that refused clients
         crowd. Harms when a total held units about to be taken back, hence the margin and the asked share."""
-        if tally.by_open or self._estimate(tally) + units <= WELL_OVER * tally.limit:
-            return False
-        return self.asks.read(self.now) > ASKED_AT_LEAST * self.arrivals.read(self.now)
+        over = not tally.by_open and self._estimate(tally) + units > WELL_OVER * tally.limit
+        if over and self.asked.read(self.now) >= ASKED_AT_LEAST:
+            self.asked.add(self.now, 0.0)
+            return True
+        return False
 
     def _return_in(self, tally, units):
         """When the estimate will have room again, if nothing more comes."""
@@ -230,62 +230,59 @@
             return SECOND // 5
         rest = tally.length - self.now % tally.length
         spare = tally.limit - units - tally.total
-        if spare < 0:
-            return rest
-        return int(max(0.0, rest - spare / tally.was * tally.length)) if tally.was > 0 else 0
+        return max(0, int(rest - max(0.0, spare) / max(tally.was, 1e-9) * tally.length))
 
     def _ask(self, req, customer, tally, units):
         """Add the req's units to its bucket. False: decide now, on own counts (see `_counted`)."""
         bucket = tally.bucket
-        name = self._name(customer, tally, bucket)
         tally.put(bucket, units)
         req.counted.append((customer, tally, bucket, units, True))
         if not self.set.may_count:
             return False
-        if not self._may_call():
+        # The first of a customer in a bucket goes ahead of the others: only the counter can tell of it.
+        if not self._may_call(-AHEAD if tally.own <= units else 1.0):
+            self.asked.add(self.now, 0.0)
             if tally.by_open:
                 # A +1 told late would only need its -1 told too: this dispatch stays on own counts.
                 req.counted[-1] = (customer, tally, bucket, units, False)
             else:
-                self._owe(name, units)
+                self._owe(self._name(customer, tally, bucket), units)
             return False
         waits = self.silent < BLIND_AFTER
-        self.asks.add(self.now, 1.0)
-        self._call(name, units, req if waits else None, customer, tally, bucket)
+        self.asked.add(self.now, 1.0)
+        self._call(units, req if waits else None, customer, tally, bucket)
         return waits
 
-    def _may_call(self):
-        """Calls are paced by what the counter answers: each failure cuts the pace, each answer raises it."""
-        self.tokens += (self.now - self.tokens_at) * self.call_pace / SECOND
-        self.tokens_at, self.tokens = self.now, min(self.tokens, max(1.0, self.call_pace * CALL_SPAN))
-        if self.tokens < 1.0:
+    def _may_call(self, credit):
+        """Calls are made for a part of what is wanted, set by what the counter answers: the same part at few
+        gatekeepers and at many, however few calls one makes."""
+        self.credit = min(2.0, self.credit + self.part)
+        if self.credit < credit:
             return False
-        self.tokens -= 1.0
+        self.credit -= 1.0
         return True
 
-    def _call(self, name, units, req, customer, tally, bucket):
+    def _call(self, units, req, customer, tally, bucket, name=None):
+        name = self._name(customer, tally, bucket) if name is None else name
         units += self.owed.pop(name, 0.0)
-        self.called.add(self.now, 1.0)
         self.calls.setdefault(name, deque()).append((req, customer, tally, bucket, units))
         self.orders.append(Add(name, units, min(LONGEST_KEEP, 3 * tally.length + SECOND)))
 
     def _take_back(self, req):
         """Units of a req never sent, and the dispatch of one that has ended, go off the name they went on."""
         for customer, tally, bucket, units, told in req.counted:
-            name = self._name(customer, tally, bucket)
             tally.put(bucket, -units)
             if not told or not self.set.may_count or (bucket + 3) * tally.length < self.now:
                 continue
-            if (self._may_call() if self.cut_at < self.now - CROWDED_FOR
-                    else tally.by_open and self.silent < BLIND_AFTER):
-                self._call(name, -units, None, customer, tally, bucket)
+            if self.part > CROWDED or tally.by_open and self.silent < BLIND_AFTER:
+                self._call(-units, None, customer, tally, bucket)
             else:
-                self._owe(name, -units)
+                self._owe(self._name(customer, tally, bucket), -units)
         req.counted = []
 
     def _counted(self, told):
-        """A counter that is silent, refusing, slow or crowded stalls every req. Failed calls cut the pace of
-        calls down to a few trials a second, answers raise it; a req without a call is decided at once by the
+        """A counter that is silent, refusing, slow or crowded stalls every req. Calls failed or slow cut the
+        part of the calls that is made, answers raise it; a req without a call is decided at once by the
         same estimate on what is known, and its units ride on the next add. Also covers a lost link to the
         counter and a fleet too large for it. Harms a customer whose traffic has just moved here."""
         pending = self.calls[told.name]
@@ -293,25 +290,20 @@
         if not pending:
             del self.calls[told.name]
         if told.end is End.PASSED:
+            if self.silent >= BLIND_AFTER:
+                self.part = max(self.part, PART_SEEN)
             self.silent = 0
-            self.answer_time.add(self.now, told.took)
-            self.answers.add(self.now, 1.0)
-            self.call_pace = min(MOST_CALLS, self.call_pace + 1.0)
+            self.answer_slow = told.took > SLOW_CALL * self.set.count_timeout
+            self.part = self.part * SLOW_CUT if self.answer_slow else min(1.0, self.part + RAISE)
             tally.told(bucket, told.total + self.owed.get(told.name, 0.0) + sum(c[4] for c in pending))
-            if self.owed and self.cut_at < self.now - CROWDED_FOR:
-                name = next(iter(self.owed))
-                if name not in self.calls:
-                    self._call(name, 0.0, None, customer, tally, -9)
+            if self.owed and self.part > CROWDED and (name := next(iter(self.owed))) not in self.calls:
+                self._call(0.0, None, customer, tally, -9, name)
         else:
             self.silent += 1
-            took = self.answer_time.read(self.now) / max(self.answers.read(self.now), 1e-9)
-            crowded = self.silent >= BLIND_AFTER or took > CROWDED * self.set.count_timeout
-            if self.now >= self.cut_at + self.set.count_timeout:
-                self.cut_at = self.now
-                cut = CROWDED_CUT if crowded else LONE_CUT
-                self.call_pace = max(FEWEST_CALLS, cut * min(self.call_pace, self.called.read(self.now)))
+            self.part *= CROWD_CUT if self.answer_slow or self.silent >= BLIND_AFTER else LONE_CUT
             if told.end in NEVER_RAN and units:
                 self._owe(told.name, units)
+        self.part = max(LEAST_PART, self.part)
         if req is not None and not req.closed and req.waits == COUNT:
             self._resume(req, told)
 
@@ -325,94 +317,98 @@
         if not plan.ceiling_rate:
             return float("inf")
         filled = (self.now - customer.store_at) * plan.ceiling_rate / customer.doors / SECOND
-        customer.store = min(plan.ceiling_depth / customer.doors, customer.store + filled)
         customer.store_at = self.now
+        customer.store = min(plan.ceiling_depth / customer.doors, customer.store + filled)
         return customer.store
 
     # The line and the workers ------------------------------------------------------------------------------
 
     def _serve_line(self):
         """Whenever a place is free the next piece gets it: customers that use least of their quota first."""
-        workers = [w for w in self.workers.values() if w.ready]
-        # When most workers fail the trouble is not theirs: nobody is benched.
-        most_fail = 2 * sum(w.benched > self.now for w in workers) > len(workers)
-        free = [w for w in workers if self._has_place(w, most_fail)]
-        # Where gatekeepers are many a worker has less than one place for each: the sum over workers holds.
-        room = self.fill * len(workers) - self.all_out
-        self.line.sort(key=lambda req: req.order)
         for req in list(self.line):
-            if not free or room <= 0 < self.all_out:
+            # Where gatekeepers are many a worker has less than one place for each: the sum holds.
+            if self.all_out and self.all_out >= self.fill * len(self.ready):
+                return
+            best = self._draw(req)
+            if best is not None:
+                self.line.remove(req)
+                self._resume(req, best)
+            elif not req.group:
                 return
-            fit = [w for w in free
-                   if not req.group or self._in_group(w, req) and self.now < self._window_end(req)]
-            if not fit:
-                continue
-            best = min(fit, key=lambda w: self._cost(w) * (2.0 if w.id in req.avoid else 1.0))
-            self.line.remove(req)
-            self._resume(req, best)
-            room -= 1
-            if not self._has_place(best, most_fail):
-                free.remove(best)
-
-    def _in_group(self, worker, req):
-        group, place = req.group
-        return group is Group.ALL or place == worker.place(group)
 
-    def _has_place(self, worker, most_fail):
-        if worker.benched > self.now and not most_fail:
+    def _draw(self, req):
+        """The best of the first few workers with a place, in an order kept up as they answer."""
+        if req.group and self.now >= self._window_end(req):
+            return None
+        fit = (w for w in self.ready if not req.group or w.place(req.group[0]) == req.group[1])
+        few = islice((w for w in fit if self._has_place(w)), DRAWN)
+        return min(few, key=lambda w: self._cost(w) * (2.0 if w.id in req.avoid else 1.0), default=None)
+
+    def _rank(self, worker):
+        """Puts a worker where it stands now: the fleet is never ranked for a req."""
+        if worker in self.ready:
+            self.ready.remove(worker)
+            worker.rank = self._cost(worker)
+            insort(self.ready, worker, key=lambda w: w.rank)
+
+    def _has_place(self, worker):
+        # When most workers fail the trouble is not theirs: nobody is benched.
+        if worker.id in self.benched and 2 * len(self.benched) <= len(self.ready):
             return False
-        if worker.started and self.now - worker.started < self.set.warm_up:
-            return worker.out < max(1.0, self.fill) and self._cold_credit(worker) > 0
+        if self._cold(worker):
+            return worker.out < max(1.0, self.fill) and self._cold_credit(worker) >= 0
         trial = worker.run >= BENCH_AFTER
-        return worker.out < (1.0 if trial else max(1.0, 2 * self.fill / self._slowness(worker)))
+        return worker.out < (1.0 if trial else max(1.0, 2 * self.fill / worker.slowness.read(self.now)))
+
+    def _cold(self, worker):
+        return worker.started and self.now - worker.started < self.set.warm_up
 
     def _cold_credit(self, worker):
-        """A cold worker earns work at its cold share of what a warm one gets from here, and starts with none:
-        all gatekeepers together then stay under what it can do without knowing of each other. Also covers
-        a worker that restarts again and again. Harms when most workers are cold at once: see the floor."""
+        """A cold worker earns work at its cold share of what a warm one gets from here, and starts owing a
+        part of a piece drawn by chance: the first pieces of all gatekeepers are then spread over the time
+        in which each has earned one, and together they stay under what it can do without knowing of each
+        other. Also covers a worker that restarts again and again, and replacements in waves. Harms when most
+        workers are cold at once: see the floor."""
         since = self.now - self.set.warm_up
-        warm = [w for w in self.workers.values() if w.ready and (not w.started or w.started <= since)]
-        if not warm:
-            return 1.0 if worker.out < 1 else 0.0
-        pace = sum(w.pace.read(self.now) for w in warm) / len(warm) / PACE_TAU
+        piece = max(usual.read(self.now) for usual in self.usual)
+        if not self.warm:
+            return 0.0 if worker.out < 1 else -1.0
+        pace = self.pace.total(self.now) / self.warm / PACE_TAU
         share = 1 - (1 - self.set.cold_share) * (worker.started - since) / self.set.warm_up
-        worker.credit = min(worker.credit + COLD_GAIN * share * pace * (self.now - worker.credit_at),
-                            max(self._usual(n) for n in range(len(self.usual))))
+        worker.credit = min(worker.credit + COLD_GAIN * share * pace * (self.now - worker.credit_at), piece)
         worker.credit_at = self.now
         return worker.credit
 
-    def _slowness(self, worker):
-        return (worker.slow_sum.read(self.now) + 1.0) / (worker.slow_n.read(self.now) + 1.0)
-
     def _cost(self, worker):
         away = ELSEWHERE if worker.zone != self.set.zone else 1.0
-        return self._slowness(worker) * (worker.out + 1.0) * away * (1.0 + 0.05 * self.random.random())
+        chance = 1.0 + 0.05 * self.random.random()
+        return worker.slowness.read(self.now) * (worker.out + 1.0) * away * chance
 
-    def _usual(self, frontend):
-        """The usual answer time; a frontend long idle falls back on a guess instead of on nothing."""
-        total, n = self.usual[frontend]
-        guess = GUESS * self.set.frontends[frontend].target
-        return (total.read(self.now) + GUESS_WEIGHT * guess) / (n.read(self.now) + GUESS_WEIGHT)
+    def _usual(self, req):
+        return self.usual[req.frontend].read(self.now)
 
     def _dispatch(self, req, worker):
-        work = self._usual(req.frontend)
-        worker.out += 1
-        self.all_out += 1
-        worker.pace.add(self.now, work)
-        worker.credit -= work
+        work = self._usual(req)
+        worker.out, self.all_out = worker.out + 1, self.all_out + 1
+        if self._cold(worker):
+            worker.credit -= work
+        else:
+            self.pace.add(self.now, work)
         req.out[len(req.sent)] = worker
         req.sent.append(self.now)
         self.orders.append(Dispatch(req.id, worker.id, max(1, req.left_at - self.now)))
+        self._rank(worker)
+        # What is known of a worker fades: one drawn by chance is put where it stands by now.
+        self._rank(self.ready[int(len(self.ready) * self.random.random())])
         long = int(SLOW * self.set.frontends[req.frontend].target)
         self._wake(self.now + long, self._overlong, req, len(req.sent) - 1)
 
     def _overlong(self, req, dispatch):
         """A dispatch still out after so much of the response target: the places shrink now, not when it ends.
         Holds against anything that slows many workers at once; harms after a run of heavy reqs."""
-        worker = req.out.get(dispatch)
-        if worker is not None:
+        if dispatch in req.out:
             self._refill(False)
-            worker.took(self.now, (self.now - req.sent[dispatch]) / self._usual(req.frontend))
+            req.out[dispatch].slowness.add(self.now, (self.now - req.sent[dispatch]) / self._usual(req))
 
     def _refill(self, quick):
         """The places of a worker, learned from all outcomes here: one worker alone answers too seldom."""
@@ -420,14 +416,12 @@
         self.fill = min(MOST_PLACES, max(FEWEST_PLACES / self.set.gatekeepers, self.fill * step))
 
     def _ended(self, told):
-        req = self.reqs.get(told.req)
-        if req is None:
+        if (req := self.reqs.get(told.req)) is None:
             return
-        worker = req.out.pop(told.dispatch, None)
-        if worker is not None:
-            worker.out -= 1
-            self.all_out -= 1
+        if (worker := req.out.pop(told.dispatch, None)) is not None:
+            worker.out, self.all_out = worker.out - 1, self.all_out - 1
             self._judge(worker, req, told)
+            self._rank(worker)
         if told.end not in NEVER_RAN and req.first_ran is None:
             frontend = self.set.frontends[req.frontend]
             req.first_ran = req.sent[told.dispatch]
@@ -458,32 +452,33 @@
         """A worker is judged by failures in a row; how slow it is, by its answers beside the usual."""
         if told.end is End.PASSED:
             frontend = self.set.frontends[req.frontend]
-            worker.took(self.now, min(10.0, told.took / max(self._usual(req.frontend), 1.0)))
-            total, n = self.usual[req.frontend]
-            total.add(self.now, told.took)
-            n.add(self.now, 1.0)
-            worker.run, worker.benched = 0, 0
-            used = self.all_out + 1 >= 0.5 * self.fill * len(self.workers)
+            worker.slowness.add(self.now, min(10.0, told.took / max(self._usual(req), 1.0)))
+            self.usual[req.frontend].add(self.now, told.took)
+            worker.run = 0
+            self.benched.discard(worker.id)
+            used = self.all_out + 1 >= 0.5 * self.fill * len(self.ready)
             if used and told.took < QUICK * frontend.target:
                 self._refill(True)
         elif told.end not in (End.CANCELLED, End.UNSENT):
-            worker.took(self.now, FAILED_AS)
+            worker.slowness.add(self.now, FAILED_AS)
             worker.run += 1
             self._refill(False)
             if worker.run >= BENCH_AFTER:
-                worker.benched = self.now + min(LONGEST_BENCH, BENCH << min(6, worker.run - BENCH_AFTER))
-                self._wake(worker.benched, self._nothing)
+                self.benched.add(worker.id)
+                length = min(LONGEST_BENCH, BENCH << min(6, worker.run - BENCH_AFTER))
+                self._wake(self.now + length, self.benched.discard, worker.id)
 
     # What is heard -----------------------------------------------------------------------------------------
 
     def _launched(self, told):
         self.set, self.random, self.launched = told.settings, Random(told.seed), self.now
         self.workers, self.customers, self.reqs, self.line = {}, {}, {}, []
-        self.calls, self.owed, self.silent, self.cut_at = {}, {}, 0, -LONGEST_KEEP
-        self.call_pace, self.tokens, self.tokens_at = MOST_CALLS, MOST_CALLS * CALL_SPAN, self.now
-        self.called, self.answers, self.answer_time = (Fade(SECOND, self.now) for _ in range(3))
-        self.asks, self.arrivals = Fade(WORK_TAU, self.now), Fade(WORK_TAU, self.now)
-        self.usual = [(Fade(WORK_TAU, self.now), Fade(WORK_TAU, self.now)) for _ in self.set.frontends]
+        self.ready, self.benched, self.pace = [], set(), Mean(PACE_TAU, self.now)
+        self.calls, self.owed, self.silent = {}, {}, 0
+        self.part, self.credit, self.answer_slow = 1.0, 1.0, False
+        self.asked = Mean(WORK_TAU, self.now)
+        # A frontend long idle falls back on a guess of its usual answer time instead of on nothing.
+        self.usual = [Mean(WORK_TAU, self.now, GUESS * f.target, GUESS_WEIGHT) for f in self.set.frontends]
         self.wakes, self.token, self.arrived = {}, 0, 0
         self.fill, self.all_out = FIRST_PLACES / self.set.gatekeepers, 0
         if self.set.must_follow:
@@ -499,9 +494,8 @@
         req.target_at = self.now + min(told.left, frontend.target)
         req.waits, req.counted, req.over, req.sent, req.out = None, [], 0.0, [], {}
         req.first_ran, req.group, req.closed, req.streams, req.avoid = None, None, False, False, set()
-        req.drew, req.order = False, (0, 0)
+        req.promised, req.order = 0.0, (0, 0)
         customer.reqs += 1
-        self.arrivals.add(self.now, 1.0)
         req.path = self._path(req)
         self._wake(req.left_at - ANSWER_MARGIN, self._overdue, req)
         self._resume(req, None)
@@ -512,9 +506,8 @@
             plan = self.set.plans[told.plan]
             customer = self.customers[told.customer] = Customer()
             customer.id, customer.plan, customer.doors = told.customer, told.plan, told.doors
-            customer.reqs = 0
+            customer.reqs, customer.tallies = 0, []
             customer.store, customer.store_at, customer.promised = 0.0, self.launched, 0.0
-            customer.tallies = []
             if plan.rate:
                 length = int(BUCKET_BURSTS * plan.burst / plan.rate * SECOND)
                 length = min(LONGEST_BUCKET, max(SHORTEST_BUCKET, length))
@@ -533,11 +526,11 @@
         if req.waits == PLACE and not req.closed:
             self.arrived += 1
             req.order = (int(4 * req.over), self.arrived)
-            self.line.append(req)
+            insort(self.line, req, key=lambda r: r.order)
             self._wake(self._last_start(req), self._late, req)
 
     def _last_start(self, req):
-        at = int(req.target_at - LAST_START * self._usual(req.frontend))
+        at = int(req.target_at - LAST_START * self._usual(req))
         return max(self.now, min(at, self._window_end(req)))
 
     def _late(self, req):
@@ -560,12 +553,12 @@
         if req.closed:
             return
         req.closed = True
-        if req.waits == PLACE and req in self.line:
+        if req in self.line:
             self.line.remove(req)
         if not req.path.gi_running:
             req.path.close()
-        if not req.drew:
-            req.customer.promised = max(0.0, req.customer.promised - req.units)
+        # Only what it was promised itself: a req denied at the ceiling once freed what others waited on.
+        req.customer.promised -= req.promised
         if not req.out:
             self._forget(req)
 
@@ -591,23 +584,34 @@
             if self.set.must_follow:
                 self._wake(self.now + SECOND, lambda: self.orders.append(Follow(True)))
             return
-        named = set()
+        named = {machine.worker for machine in told.machines}
         for machine in told.machines:
-            named.add(machine.worker)
             worker = self.workers.get(machine.worker)
             if worker is None or worker.started != machine.started:
                 worker = self._new_worker(machine)
             worker.ready = machine.phase is Phase.READY
         for worker in self.workers.values():
-            if told.news is not News.CHANGES and worker.id not in named:
-                worker.ready = False
+            worker.ready = worker.ready and (told.news is News.CHANGES or worker.id in named)
+        self._sort_workers()
+
+    def _sort_workers(self):
+        self.ready = [w for w in self.workers.values() if w.ready]
+        for worker in self.ready:
+            worker.rank = self._cost(worker)
+        self.ready.sort(key=lambda w: w.rank)
+        self.benched.intersection_update(w.id for w in self.ready)
+        self.warm = sum(not self._cold(w) for w in self.ready)
 
     def _new_worker(self, machine):
         worker = self.workers[machine.worker] = Worker()
+        self.benched.discard(machine.worker)
         worker.id, worker.cell, worker.zone = machine.worker, machine.cell, machine.zone
-        worker.started, worker.out, worker.run, worker.benched = machine.started, 0, 0, 0
-        worker.slow_sum, worker.slow_n = Fade(SLOW_TAU, self.now), Fade(SLOW_TAU, self.now)
-        worker.pace, worker.credit, worker.credit_at = Fade(PACE_TAU, self.now), 0.0, self.now
+        worker.started, worker.out, worker.run, worker.credit_at = machine.started, 0, 0, self.now
+        worker.credit = -self.random.random() * max(usual.read(self.now) for usual in self.usual)
+        worker.ready = False
+        worker.slowness = Mean(SLOW_TAU, self.now, 1.0)
+        if self._cold(worker):
+            self._wake(worker.started + self.set.warm_up, self._sort_workers)
         return worker
 
     def _nothing(self, *_):
@@ -630,13 +634,10 @@
                 del self.customers[customer.id]
         while len(self.owed) > MOST_OWED:
             del self.owed[next(iter(self.owed))]
-        for worker in list(self.workers.values()):
-            if not worker.ready and not worker.out:
-                del self.workers[worker.id]
+        self.workers = {w.id: w for w in self.workers.values() if w.ready or w.out}
         self._wake(self.now + TIDY, self._tidy)
 
 
 HEAR = {Launched: Gatekeeper._launched, Roster: Gatekeeper._roster, Arrived: Gatekeeper._arrived,
         Ended: Gatekeeper._ended, Streaming: Gatekeeper._streaming, Left: Gatekeeper._left,
-        Counted: Gatekeeper._counted, Woke: Gatekeeper._woke, Probed: Gatekeeper._nothing,
-        Heard: Gatekeeper._nothing}
+        Counted: Gatekeeper._counted, Woke: Gatekeeper._woke}
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -97,7 +97,7 @@
         self.roster(machine(1, phase=i.Phase.DRAINING))
         self.arrive(2)
         for _ in range(9):
-            self.gatekeeper.usual[0][1].add(self.now, 1.0)  # the usual time falls while it waits
+            self.gatekeeper.usual[0].add(self.now, 0.0)  # the usual time falls while it waits
         self.after(3000)
         self.kept("late_timer")
 
@@ -161,6 +161,15 @@
         self.kept("ceiling")
 
 
+    def test_a_denial_at_the_ceiling_frees_no_promise(self):
+        self.launch()
+        self.after(600)
+        for req in (1, 2, 3):
+            self.arrive(req, plan=2)  # the share holds one: req 1 waits for its count, 2 and 3 are denied
+        self.answer(1)
+        self.kept("ceiling_promise")
+
+
 class Workers(Play):
     def test_failures_in_a_row_bench_a_worker(self):
         self.launch(machine(1), machine(2), machine(3))
