Shares are learned from told totals alone; a worker is remembered until all were met

Where gatekeepers are many, slowness faded long before a worker was met again, and the same slow ones were tried over and over. One overlong dispatch of the one or two out took nine tenths of the places.

Changes: the share moves only when a total is told, without the req that asks; unasked reqs get 1.5 shares; plans by rate go ahead for calls, ends of dispatches are paced once fewer than half of the calls are made; a worker is remembered for 3 s and as long as it takes to meet all from here; an outcome moves the places by a sixth at most of what it did.

Harms: a worker well again is met later; a customer whose doors are even more uneven than learned.

--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -24,19 +24,22 @@
 LONGEST_KEEP = 60 * SECOND
 SHORTEST_BUCKET, LONGEST_BUCKET = SECOND // 2, 18 * SECOND
 # The counter: calls failed in a row until none is waited for; the part of the wanted calls that is made, at
-# least, what an answer adds to it and what a slow answer, a lone failure and one in a crowd leave of it, and
-# below which the counter counts as crowded; the share of the time-out that makes an answer slow; calls that
-# may be made ahead of their credit; and the spread of own counts.
-BLIND_AFTER, LEAST_PART, RAISE, PART_SEEN = 3, 0.1, 0.02, 0.5
-SLOW_CUT, LONE_CUT, CROWD_CUT, CROWDED, SLOW_CALL, AHEAD, SPREAD = 0.95, 0.97, 0.85, 0.9, 0.3, 3.0, 0.5
+# least and once it answers again; what an answer adds to it, what a slow and a failed one leave of it; below
+# which part takes-back and reads, and below which ends of dispatches are called only as that part allows; the
+# share of the time-out that makes an answer slow; calls that may be made ahead of their credit.
+BLIND_AFTER, LEAST_PART, PART_SEEN, RAISE, SLOW_CUT, FAIL_CUT = 3, 0.1, 0.5, 0.02, 0.95, 0.9
+CROWDED, CALLED_OFF, SLOW_CALL, AHEAD = 0.9, 0.5, 0.3, 3.0
+# Without an answer: what a total teaches of the part that comes through here, our share of the limit in such
+# parts, and the spread that chance gives.
+LEARN, UNASKED, SPREAD = 0.1, 1.5, 0.5
 MOST_OWED = 5000                                      # names with units owed, through a long silence
-WELL_OVER, ASKED_AT_LEAST = 1.1, 0.8                  # limits, parts of reqs: to deny one without a call
 # Workers: places of one at first and at least over all gatekeepers, at most here; failures in a row that
 # bench one, and for how long.
 FIRST_PLACES, FEWEST_PLACES, MOST_PLACES = 6.0, 3.0, 16.0
-GROW, SHRINK = 0.25, 0.9                              # of the places, while all that is out is answered once
+GROW, SHRINK, FEWEST_TELL = 0.25, 0.9, 6.0            # of the places, while all that is out is answered once
 BENCH_AFTER, BENCH, LONGEST_BENCH = 3, SECOND // 2, 4 * SECOND
 SLOW_TAU, WORK_TAU, PACE_TAU = 3 * SECOND, 5 * SECOND, 5 * SECOND
+MEETS, LONGEST_TAU = 1.0, 60 * SECOND                 # times all workers are met, for which one is remembered
 FAILED_AS = 4.0                                       # a failure weighs as an answer this many times too slow
 QUICK, SLOW = 0.25, 0.4                               # shares of the response target that move the places
 ELSEWHERE, DRAWN = 1.1, 8                             # cost of another zone; workers looked at for a req
@@ -82,9 +85,6 @@
         bucket = now // self.length
         if bucket == self.bucket:
             return
-        if self.total > 0:
-            # The part of the customer's traffic that comes through here, for when the counter is silent.
-            self.share += 0.3 * (min(1.0, self.own / self.total) - self.share)
         last = bucket == self.bucket + 1
         self.was, self.was_own = (self.total, self.own) if last else (0.0, 0.0)
         self.was_known, self.bucket, self.total, self.own = False, bucket, 0.0, 0.0
@@ -94,10 +94,15 @@
         # By open, half a bucket is as long as a dispatch can be out: then the previous holds only leaks.
         return float(into < 0.5) if self.by_open else 1.0 - into
 
-    def told(self, bucket, total):
+    def told(self, bucket, total, units):
         """A total came back; one below our own standing units shows that the counter lost counts."""
         if bucket == self.bucket:
             self.total = max(total, self.own)
+            if total > units > 0:
+                # The part of the customer's traffic that comes through here, beside the req that asks:
+                # learned from totals told alone, else unasked reqs would make it look like all of it.
+                part = min(1.0, max(0.0, self.own - units) / (total - units))
+                self.share += LEARN * (part - self.share)
         elif bucket == self.bucket - 1:
             self.was, self.was_known = max(total, self.was_own), True
 
@@ -135,15 +140,13 @@
 
     def _path(self, req):
         """The ordinary path of a req, top to bottom; it yields while it waits."""
-        customer, frontend = req.customer, self.set.frontends[req.frontend]
+        customer = req.customer
         if self._ceiling(customer) - customer.promised < req.units:
             return self._deny(req)
         req.promised = req.units
         customer.promised += req.promised
         for tally in customer.tallies:
             tally.roll(self.now)
-            if self._surely_over(tally, req.units):
-                return self._deny(req, self._return_in(tally, req.units))
             units = 1.0 if tally.by_open else req.units
             waited_for = self._ask(req, customer, tally, units)
             told = (yield COUNT) if waited_for else None
@@ -172,14 +175,15 @@
             ended = yield OUTCOME
             if ended.end is End.PASSED:
                 return None
-            if not self._may_go_again(req, frontend):
+            if not self._may_go_again(req):
                 return self._give_up(req)
 
-    def _may_go_again(self, req, frontend):
+    def _may_go_again(self, req):
         if len(req.sent) >= self.set.max_dispatches or req.streams or self.now >= req.left_at:
             return False
-        uniqued = frontend.repeat is Repeat.UNIQUED and self.now < self._window_end(req)
-        return req.first_ran is None or frontend.repeat is Repeat.REPLAYABLE or uniqued
+        repeat = self.set.frontends[req.frontend].repeat
+        uniqued = repeat is Repeat.UNIQUED and self.now < self._window_end(req)
+        return req.first_ran is None or repeat is Repeat.REPLAYABLE or uniqued
 
     def _window_end(self, req):
         """A uniqued req that may have run goes out again only while its group remembers it."""
@@ -210,20 +214,11 @@
         with the spread that chance gives so small a number."""
         if not tally.by_open and self._estimate(tally) > tally.limit:
             return True
-        ours = max(tally.share, 1.0 / customer.doors) * tally.limit
+        ours = UNASKED * max(tally.share, 1.0 / customer.doors) * tally.limit
         own = tally.was_own * tally.overlap(self.now) + tally.own
         # Where doors are many the share is less than one req: the first is let in all the same.
         return own > max(units, ours + SPREAD * ours ** 0.5)
 
-    def _surely_over(self, tally, units):
-        """Denial without a call for a customer just seen well over: spares a counter that refused clients
-        crowd. Harms when a total held units about to be taken back, hence the margin and the asked share."""
-        over = not tally.by_open and self._estimate(tally) + units > WELL_OVER * tally.limit
-        if over and self.asked.read(self.now) >= ASKED_AT_LEAST:
-            self.asked.add(self.now, 0.0)
-            return True
-        return False
-
     def _return_in(self, tally, units):
         """When the estimate will have room again, if nothing more comes."""
         if tally.by_open:
@@ -239,9 +234,8 @@
         req.counted.append((customer, tally, bucket, units, True))
         if not self.set.may_count:
             return False
-        # The first of a customer in a bucket goes ahead of the others: only the counter can tell of it.
-        if not self._may_call(-AHEAD if tally.own <= units else 1.0):
-            self.asked.add(self.now, 0.0)
+        # Plans by rate go ahead: one call serves them, plans by dispatches out need a second at the end.
+        if not self._may_call(1.0 if tally.by_open else -AHEAD):
             if tally.by_open:
                 # A +1 told late would only need its -1 told too: this dispatch stays on own counts.
                 req.counted[-1] = (customer, tally, bucket, units, False)
@@ -249,7 +243,6 @@
                 self._owe(self._name(customer, tally, bucket), units)
             return False
         waits = self.silent < BLIND_AFTER
-        self.asked.add(self.now, 1.0)
         self._call(units, req if waits else None, customer, tally, bucket)
         return waits
 
@@ -274,7 +267,7 @@
             tally.put(bucket, -units)
             if not told or not self.set.may_count or (bucket + 3) * tally.length < self.now:
                 continue
-            if self.part > CROWDED or tally.by_open and self.silent < BLIND_AFTER:
+            if self.part > CROWDED or tally.by_open and (self.part > CALLED_OFF or self._may_call(1.0)):
                 self._call(-units, None, customer, tally, bucket)
             else:
                 self._owe(self._name(customer, tally, bucket), -units)
@@ -293,14 +286,15 @@
             if self.silent >= BLIND_AFTER:
                 self.part = max(self.part, PART_SEEN)
             self.silent = 0
-            self.answer_slow = told.took > SLOW_CALL * self.set.count_timeout
-            self.part = self.part * SLOW_CUT if self.answer_slow else min(1.0, self.part + RAISE)
-            tally.told(bucket, told.total + self.owed.get(told.name, 0.0) + sum(c[4] for c in pending))
+            slow = told.took > SLOW_CALL * self.set.count_timeout
+            self.part = self.part * SLOW_CUT if slow else min(1.0, self.part + RAISE)
+            total = told.total + self.owed.get(told.name, 0.0) + sum(c[4] for c in pending)
+            tally.told(bucket, total, units)
             if self.owed and self.part > CROWDED and (name := next(iter(self.owed))) not in self.calls:
                 self._call(0.0, None, customer, tally, -9, name)
         else:
             self.silent += 1
-            self.part *= CROWD_CUT if self.answer_slow or self.silent >= BLIND_AFTER else LONE_CUT
+            self.part *= FAIL_CUT
             if told.end in NEVER_RAN and units:
                 self._owe(told.name, units)
         self.part = max(LEAST_PART, self.part)
@@ -408,11 +402,20 @@
         Holds against anything that slows many workers at once; harms after a run of heavy reqs."""
         if dispatch in req.out:
             self._refill(False)
-            req.out[dispatch].slowness.add(self.now, (self.now - req.sent[dispatch]) / self._usual(req))
+            self._took(req.out[dispatch], (self.now - req.sent[dispatch]) / self._usual(req))
+
+    def _took(self, worker, times):
+        """An answer, or what weighs as one, this many times the usual. It is remembered for as long as it
+        takes to meet every worker once from here: where gatekeepers are many each meets a worker seldom, and
+        would try the same slow ones over and over. Harms when a worker is well again soon."""
+        self.pace.total(self.now)
+        meets = len(self.ready) * PACE_TAU / max(1.0, self.pace.n)
+        worker.slowness.add(self.now, times)
+        worker.slowness.tau = min(LONGEST_TAU, SLOW_TAU + MEETS * meets)
 
     def _refill(self, quick):
         """The places of a worker, learned from all outcomes here: one worker alone answers too seldom."""
-        step = 1.0 + GROW / max(1, self.all_out) if quick else 1.0 - SHRINK / max(1, self.all_out)
+        step = 1.0 + (GROW if quick else -SHRINK) / max(FEWEST_TELL, self.all_out)
         self.fill = min(MOST_PLACES, max(FEWEST_PLACES / self.set.gatekeepers, self.fill * step))
 
     def _ended(self, told):
@@ -452,7 +455,7 @@
         """A worker is judged by failures in a row; how slow it is, by its answers beside the usual."""
         if told.end is End.PASSED:
             frontend = self.set.frontends[req.frontend]
-            worker.slowness.add(self.now, min(10.0, told.took / max(self._usual(req), 1.0)))
+            self._took(worker, min(10.0, told.took / max(self._usual(req), 1.0)))
             self.usual[req.frontend].add(self.now, told.took)
             worker.run = 0
             self.benched.discard(worker.id)
@@ -460,7 +463,7 @@
             if used and told.took < QUICK * frontend.target:
                 self._refill(True)
         elif told.end not in (End.CANCELLED, End.UNSENT):
-            worker.slowness.add(self.now, FAILED_AS)
+            self._took(worker, FAILED_AS)
             worker.run += 1
             self._refill(False)
             if worker.run >= BENCH_AFTER:
@@ -474,13 +477,11 @@
         self.set, self.random, self.launched = told.settings, Random(told.seed), self.now
         self.workers, self.customers, self.reqs, self.line = {}, {}, {}, []
         self.ready, self.benched, self.pace = [], set(), Mean(PACE_TAU, self.now)
-        self.calls, self.owed, self.silent = {}, {}, 0
-        self.part, self.credit, self.answer_slow = 1.0, 1.0, False
-        self.asked = Mean(WORK_TAU, self.now)
+        self.calls, self.owed, self.silent, self.part, self.credit = {}, {}, 0, 1.0, 1.0
         # A frontend long idle falls back on a guess of its usual answer time instead of on nothing.
         self.usual = [Mean(WORK_TAU, self.now, GUESS * f.target, GUESS_WEIGHT) for f in self.set.frontends]
-        self.wakes, self.token, self.arrived = {}, 0, 0
-        self.fill, self.all_out = FIRST_PLACES / self.set.gatekeepers, 0
+        self.wakes, self.token, self.arrived, self.all_out = {}, 0, 0, 0
+        self.fill = FIRST_PLACES / self.set.gatekeepers
         if self.set.must_follow:
             self.orders.append(Follow(True))
         self._wake(self.now + TIDY, self._tidy)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -80,6 +80,21 @@
         self.kept("no_counter")
 
 
+    def test_unasked_reqs_do_not_grow_our_share(self):
+        self.launch()
+        for n in range(3):   # a customer of ten doors, three buckets with no answer told
+            self.after(1500)
+            for req in range(9 * n, 9 * n + 9):
+                self.arrive(req, plan=0, doors=10)
+                self.after(30)
+                while self.calls:
+                    self.count(end=i.End.TIMEOUT)
+            for req in list(self.gatekeeper.reqs):
+                self.end(req)
+        self.lines = [f"part that comes through here: {self.gatekeeper.customers[5].tallies[0].share:.2f}"]
+        self.kept("share_unasked")
+
+
 class Rules(Play):
     def test_tight_client_timeout_is_answered_in_time(self):
         self.launch()
