A part of a place is given by chance; two usual answer times to begin a req

Parts of places are now drawn by chance for one usual answer time, and a req is begun only if twice its usual answer time is left.

Harms a lone req while places are few: it waits for one usual answer time.

--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -45,7 +45,7 @@
 ELSEWHERE, DRAWN = 1.1, 8                             # cost of another zone; workers looked at for a req
 COLD_GAIN = 1.2                                       # a cold worker's work beside its share of a warm one's
 GUESS, GUESS_WEIGHT = 0.125, 0.2                      # of the response target, in answers, until some tell
-LAST_START = 1.2                                      # usual answer times that must be left to begin a req
+LAST_START = 2.0                                      # usual answer times that must be left to begin a req
 ANSWER_MARGIN = SECOND // 50                          # before the client timeout, for a req still in line
 TIDY, IDLE = 10 * SECOND, 70 * SECOND                 # beyond any bucket kept and any ceiling filled
 
@@ -54,8 +54,6 @@
     """A mean over the last `tau` or so, brought up to date when it is read; it begins as `weight` values of
     `start`, which never fade."""
 
-    __slots__ = ("tau", "at", "sum", "n", "start", "weight")
-
     def __init__(self, tau, now, start=0.0, weight=1.0):
         self.tau, self.at, self.sum, self.n, self.start, self.weight = tau, now, 0.0, 0.0, start, weight
 
@@ -148,14 +146,12 @@
         for tally in customer.tallies:
             tally.roll(self.now)
             units = 1.0 if tally.by_open else req.units
-            waited_for = self._ask(req, customer, tally, units)
-            told = (yield COUNT) if waited_for else None
+            told = (yield COUNT) if self._ask(req, customer, tally, units) else None
             if told is not None and told.end is End.PASSED:
-                bucket = tally.bucket
                 known = tally.was_known and not (tally.by_open and tally.was)
                 decides = self._estimate(tally, max(tally.was, tally.limit)) > tally.limit
                 if decides and not known and self.part > CROWDED:
-                    self._call(0.0, req, customer, tally, bucket - 1)
+                    self._call(0.0, req, customer, tally, tally.bucket - 1)
                     yield COUNT
                 over = self._estimate(tally) > tally.limit
             else:
@@ -221,11 +217,9 @@
 
     def _return_in(self, tally, units):
         """When the estimate will have room again, if nothing more comes."""
-        if tally.by_open:
-            return SECOND // 5
+        spare = max(0.0, tally.limit - units - tally.total) / max(tally.was, 1e-9)
         rest = tally.length - self.now % tally.length
-        spare = tally.limit - units - tally.total
-        return max(0, int(rest - max(0.0, spare) / max(tally.was, 1e-9) * tally.length))
+        return SECOND // 5 if tally.by_open else max(0, int(rest - spare * tally.length))
 
     def _ask(self, req, customer, tally, units):
         """Add the req's units to its bucket. False: decide now, on own counts (see `_counted`)."""
@@ -247,8 +241,7 @@
         return waits
 
     def _may_call(self, credit):
-        """Calls are made for a part of what is wanted, set by what the counter answers: the same part at few
-        gatekeepers and at many, however few calls one makes."""
+        """Calls are made for a part of what is wanted: the same at few gatekeepers and at many."""
         self.credit = min(2.0, self.credit + self.part)
         if self.credit < credit:
             return False
@@ -274,10 +267,9 @@
         req.counted = []
 
     def _counted(self, told):
-        """A counter that is silent, refusing, slow or crowded stalls every req. Calls failed or slow cut the
-        part of the calls that is made, answers raise it; a req without a call is decided at once by the
-        same estimate on what is known, and its units ride on the next add. Also covers a lost link to the
-        counter and a fleet too large for it. Harms a customer whose traffic has just moved here."""
+        """A counter that is silent, slow or crowded stalls every req. Calls failed or slow cut the part of
+        them that is made, answers raise it; a req without one is decided at once on what is known, and its
+        units ride on the next add. Also covers a lost link. Harms a customer that has just moved here."""
         pending = self.calls[told.name]
         req, customer, tally, bucket, units = pending.popleft()
         if not pending:
@@ -305,8 +297,7 @@
 
     def _ceiling(self, customer):
         """Our share of the customer's hard ceiling. It fills from launch, so that a restart never grants a
-        second depth, and asks nobody, so that it holds whatever the counter does. Harms a customer that
-        comes through one gatekeeper only: it has that one's share."""
+        second depth, and asks nobody. Harms a customer that comes through one gatekeeper only."""
         plan = self.set.plans[customer.plan]
         if not plan.ceiling_rate:
             return float("inf")
@@ -320,16 +311,25 @@
     def _serve_line(self):
         """Whenever a place is free the next piece gets it: customers that use least of their quota first."""
         for req in list(self.line):
-            # Where gatekeepers are many a worker has less than one place for each: the sum holds.
-            if self.all_out and self.all_out >= self.fill * len(self.ready):
-                return
-            best = self._draw(req)
+            best = self._draw(req) if self.all_out < self._room(req) else None
             if best is not None:
                 self.line.remove(req)
                 self._resume(req, best)
             elif not req.group:
                 return
 
+    def _room(self, req):
+        """Dispatches that may be out from here. Where gatekeepers are many that is one and a part, and a part
+        is given by chance, anew after each usual answer time: rounded up, all together hold half as much
+        again and jam the workers. Harms a lone req when the places are few: it may wait for that time."""
+        if self.now >= self.drawn_until:
+            self.chance, self.drawn_until = self.random.random(), self.now + max(1, int(self._usual(req)))
+        room = int(self.fill * len(self.ready) + self.chance)
+        if self.all_out >= room and self.woken < self.drawn_until:
+            self.woken = self.drawn_until
+            self._wake(self.drawn_until, self._nothing)
+        return room
+
     def _draw(self, req):
         """The best of the first few workers with a place, in an order kept up as they answer."""
         if req.group and self.now >= self._window_end(req):
@@ -359,10 +359,9 @@
 
     def _cold_credit(self, worker):
         """A cold worker earns work at its cold share of what a warm one gets from here, and starts owing a
-        part of a piece drawn by chance: the first pieces of all gatekeepers are then spread over the time
-        in which each has earned one, and together they stay under what it can do without knowing of each
-        other. Also covers a worker that restarts again and again, and replacements in waves. Harms when most
-        workers are cold at once: see the floor."""
+        part of a piece drawn by chance: the first pieces of all gatekeepers are spread over the time in which
+        each has earned one, under what it can do. Also covers one that restarts again and again, and waves of
+        replacements. Harms when most workers are cold at once: see the floor."""
         since = self.now - self.set.warm_up
         piece = max(usual.read(self.now) for usual in self.usual)
         if not self.warm:
@@ -394,8 +393,8 @@
         self._rank(worker)
         # What is known of a worker fades: one drawn by chance is put where it stands by now.
         self._rank(self.ready[int(len(self.ready) * self.random.random())])
-        long = int(SLOW * self.set.frontends[req.frontend].target)
-        self._wake(self.now + long, self._overlong, req, len(req.sent) - 1)
+        self._wake(self.now + int(SLOW * self.set.frontends[req.frontend].target), self._overlong, req,
+                   len(req.sent) - 1)
 
     def _overlong(self, req, dispatch):
         """A dispatch still out after so much of the response target: the places shrink now, not when it ends.
@@ -481,7 +480,7 @@
         # A frontend long idle falls back on a guess of its usual answer time instead of on nothing.
         self.usual = [Mean(WORK_TAU, self.now, GUESS * f.target, GUESS_WEIGHT) for f in self.set.frontends]
         self.wakes, self.token, self.arrived, self.all_out = {}, 0, 0, 0
-        self.fill = FIRST_PLACES / self.set.gatekeepers
+        self.fill, self.chance, self.drawn_until, self.woken = FIRST_PLACES / self.set.gatekeepers, 0.0, 0, 0
         if self.set.must_follow:
             self.orders.append(Follow(True))
         self._wake(self.now + TIDY, self._tidy)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -205,6 +205,15 @@
         self.assertLess(self.gatekeeper.fill, before)
         self.kept("overlong")
 
+    def test_a_part_of_a_place_is_given_by_chance(self):
+        self.launch(*(machine(n) for n in range(1, 41)), gatekeepers=400)
+        for req in range(1, 6):   # room for 0.6 of a dispatch
+            self.arrive(req)
+            self.after(200)
+            for out in [r for r in self.gatekeeper.reqs.values() if r.out]:
+                self.end(out.id, worker=out.out[0].id)
+        self.kept("part_of_a_place")
+
     def test_frontend_long_idle_keeps_a_usual_time(self):
         self.launch(machine(1))
         self.arrive(1)
