Room has the spread of chance; calls go first where a door holds less than one req

Without an answer every door lets the first req of a customer in, so customers of many doors leak most, and those of few doors know their share.

Changes: room is the share of the places and 0.7 of its square root, least places 2 for 3; a req goes ahead for a call when our share is less than it.

Harms under a slow-down of all workers: a little more is held.

--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -21,8 +21,7 @@
 COUNT, PLACE, OUTCOME = "count", "place", "outcome"   # what the path of a req waits for
 # The quota: bucket length and limit in bursts, and how long a name is kept on the counter.
 BUCKET_BURSTS, LIMIT_BURSTS = 1.25, 1.35
-LONGEST_KEEP = 60 * SECOND
-SHORTEST_BUCKET, LONGEST_BUCKET = SECOND // 2, 18 * SECOND
+SHORTEST_BUCKET, LONGEST_BUCKET, LONGEST_KEEP = SECOND // 2, 18 * SECOND, 60 * SECOND
 # The counter: calls failed in a row until none is waited for; the part of the wanted calls that is made, at
 # least and once it answers again; what an answer adds to it, what a slow and a failed one leave of it; below
 # which part takes-back and reads, and below which ends of dispatches are called only as that part allows; the
@@ -30,12 +29,12 @@
 BLIND_AFTER, LEAST_PART, PART_SEEN, RAISE, SLOW_CUT, FAIL_CUT = 3, 0.1, 0.5, 0.02, 0.95, 0.9
 CROWDED, CALLED_OFF, SLOW_CALL, AHEAD = 0.9, 0.5, 0.3, 3.0
 # Without an answer: what a total teaches of the part that comes through here, our share of the limit in such
-# parts, and the spread that chance gives.
-LEARN, UNASKED, SPREAD = 0.1, 1.5, 0.5
+# parts; and the spread that chance gives small numbers, of reqs and of dispatches out.
+LEARN, UNASKED, SPREAD = 0.1, 1.5, 0.7
 MOST_OWED = 5000                                      # names with units owed, through a long silence
 # Workers: places of one at first and at least over all gatekeepers, at most here; failures in a row that
 # bench one, and for how long.
-FIRST_PLACES, FEWEST_PLACES, MOST_PLACES = 6.0, 3.0, 16.0
+FIRST_PLACES, FEWEST_PLACES, MOST_PLACES = 6.0, 2.0, 16.0
 GROW, SHRINK, FEWEST_TELL = 0.25, 0.9, 6.0            # of the places, while all that is out is answered once
 BENCH_AFTER, BENCH, LONGEST_BENCH = 3, SECOND // 2, 4 * SECOND
 SLOW_TAU, WORK_TAU, PACE_TAU = 3 * SECOND, 5 * SECOND, 5 * SECOND
@@ -205,12 +204,15 @@
     def _estimate(self, tally, was=None):
         return (tally.was if was is None else was) * tally.overlap(self.now) + tally.total
 
+    def _ours(self, customer, tally):
+        return UNASKED * max(tally.share, 1.0 / customer.doors) * tally.limit
+
     def _over_unasked(self, customer, tally, units):
         """Without an answer: what the last total makes sure of, and our share of the limit on own counts,
         with the spread that chance gives so small a number."""
         if not tally.by_open and self._estimate(tally) > tally.limit:
             return True
-        ours = UNASKED * max(tally.share, 1.0 / customer.doors) * tally.limit
+        ours = self._ours(customer, tally)
         own = tally.was_own * tally.overlap(self.now) + tally.own
         # Where doors are many the share is less than one req: the first is let in all the same.
         return own > max(units, ours + SPREAD * ours ** 0.5)
@@ -223,30 +225,30 @@
 
     def _ask(self, req, customer, tally, units):
         """Add the req's units to its bucket. False: decide now, on own counts (see `_counted`)."""
-        bucket = tally.bucket
-        tally.put(bucket, units)
-        req.counted.append((customer, tally, bucket, units, True))
+        tally.put(tally.bucket, units)
+        req.counted.append((customer, tally, tally.bucket, units, True))
         if not self.set.may_count:
             return False
-        # Plans by rate go ahead: one call serves them, plans by dispatches out need a second at the end.
-        if not self._may_call(1.0 if tally.by_open else -AHEAD):
+        # Ahead go those of whom our share is less than one req: without an answer each door lets its first
+        # in. Plans by dispatches out stay behind, they need a second call at the end.
+        ahead = not tally.by_open and self._ours(customer, tally) < units
+        if not self._may_call(-AHEAD if ahead else 1.0):
             if tally.by_open:
                 # A +1 told late would only need its -1 told too: this dispatch stays on own counts.
-                req.counted[-1] = (customer, tally, bucket, units, False)
+                req.counted[-1] = (customer, tally, tally.bucket, units, False)
             else:
-                self._owe(self._name(customer, tally, bucket), units)
+                self._owe(self._name(customer, tally, tally.bucket), units)
             return False
         waits = self.silent < BLIND_AFTER
-        self._call(units, req if waits else None, customer, tally, bucket)
+        self._call(units, req if waits else None, customer, tally, tally.bucket)
         return waits
 
     def _may_call(self, credit):
         """Calls are made for a part of what is wanted: the same at few gatekeepers and at many."""
         self.credit = min(2.0, self.credit + self.part)
-        if self.credit < credit:
-            return False
-        self.credit -= 1.0
-        return True
+        may = self.credit >= credit
+        self.credit -= may
+        return may
 
     def _call(self, units, req, customer, tally, bucket, name=None):
         name = self._name(customer, tally, bucket) if name is None else name
@@ -319,12 +321,13 @@
                 return
 
     def _room(self, req):
-        """Dispatches that may be out from here. Where gatekeepers are many that is one and a part, and a part
-        is given by chance, anew after each usual answer time: rounded up, all together hold half as much
+        """Dispatches that may be out from here: our places and the spread that chance gives so few. A part of
+        one is given by chance, anew after each usual answer time: rounded up, all together hold half as much
         again and jam the workers. Harms a lone req when the places are few: it may wait for that time."""
         if self.now >= self.drawn_until:
             self.chance, self.drawn_until = self.random.random(), self.now + max(1, int(self._usual(req)))
-        room = int(self.fill * len(self.ready) + self.chance)
+        room = self.fill * len(self.ready)
+        room = int(room + SPREAD * room ** 0.5 + self.chance)
         if self.all_out >= room and self.woken < self.drawn_until:
             self.woken = self.drawn_until
             self._wake(self.drawn_until, self._nothing)
@@ -453,13 +456,12 @@
     def _judge(self, worker, req, told):
         """A worker is judged by failures in a row; how slow it is, by its answers beside the usual."""
         if told.end is End.PASSED:
-            frontend = self.set.frontends[req.frontend]
             self._took(worker, min(10.0, told.took / max(self._usual(req), 1.0)))
             self.usual[req.frontend].add(self.now, told.took)
             worker.run = 0
             self.benched.discard(worker.id)
             used = self.all_out + 1 >= 0.5 * self.fill * len(self.ready)
-            if used and told.took < QUICK * frontend.target:
+            if used and told.took < QUICK * self.set.frontends[req.frontend].target:
                 self._refill(True)
         elif told.end not in (End.CANCELLED, End.UNSENT):
             self._took(worker, FAILED_AS)
@@ -487,11 +489,10 @@
 
     def _arrived(self, told):
         customer = self._customer(told)
-        frontend = self.set.frontends[told.frontend]
         req = self.reqs[told.req] = Req()
         req.id, req.frontend, req.customer, req.units = told.req, told.frontend, customer, told.units
         req.left_at = self.now + told.left
-        req.target_at = self.now + min(told.left, frontend.target)
+        req.target_at = self.now + min(told.left, self.set.frontends[told.frontend].target)
         req.waits, req.counted, req.over, req.sent, req.out = None, [], 0.0, [], {}
         req.first_ran, req.group, req.closed, req.streams, req.avoid = None, None, False, False, set()
         req.promised, req.order = 0.0, (0, 0)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -80,6 +80,14 @@
         self.kept("no_counter")
 
 
+    def test_calls_go_first_to_customers_of_many_doors(self):
+        self.launch()
+        self.after(1500)
+        self.gatekeeper.part, self.gatekeeper.credit = 0.1, -1.0  # crowded, and ahead of its credit
+        self.arrive(1, plan=0, customer=1, doors=2)
+        self.arrive(2, plan=0, customer=2, doors=100)
+        self.kept("who_goes_ahead")
+
     def test_unasked_reqs_do_not_grow_our_share(self):
         self.launch()
         for n in range(3):   # a customer of ten doors, three buckets with no answer told
@@ -206,8 +214,8 @@
         self.kept("overlong")
 
     def test_a_part_of_a_place_is_given_by_chance(self):
-        self.launch(*(machine(n) for n in range(1, 41)), gatekeepers=400)
-        for req in range(1, 6):   # room for 0.6 of a dispatch
+        self.launch(*(machine(n) for n in range(1, 41)), gatekeepers=1600)
+        for req in range(1, 6):   # room for less than half a dispatch
             self.arrive(req)
             self.after(200)
             for out in [r for r in self.gatekeeper.reqs.values() if r.out]:
