Dispatches likely lost free their place; cold workers by the told multiple; calls settle fast

Changes: after 4 usual answer times, while the usual time is under 0.25 of the response target, a dispatch no longer holds a place (test: likely_lost); a cold worker gets 0.6 of the push told to be too much and comes first once it has earned a piece; after a silence the part of the calls is what it was (test: crowd_no_silence), answers and failures change it in proportion; only turned-away dispatches shrink the places, errors and lost ones do not.

Harms after a run of heavy reqs: their places count as free.

--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -3,9 +3,6 @@
 Called as `Gatekeeper().step(now, happening)`, which returns the orders to carry out, in their order; the
 first happening is `Launched`. The types of both stand in `fernyard/interface.py`; times are whole tenths of a
 millisecond. An instance shares nothing with any other and draws its chance from its own seed.
-
-The quota is the Sliding Window-Fixed Rate estimate of docs/design.md: one add a req to the customer's current
-bucket on the shared counter, previous bucket x overlap + total returned against the limit.
 """
 
 from bisect import insort
@@ -23,10 +20,10 @@
 BUCKET_BURSTS, LIMIT_BURSTS = 1.25, 1.35
 SHORTEST_BUCKET, LONGEST_BUCKET, LONGEST_KEEP = SECOND // 2, 18 * SECOND, 60 * SECOND
 # The counter: calls failed in a row until none is waited for; the part of the wanted calls that is made, at
-# least and once it answers again; what an answer adds to it, what a slow and a failed one leave of it; below
+# least; what an answer, a slow and a failed one make of it, in parts; below
 # which part takes-back and reads, and below which ends of dispatches are called only as that part allows; the
 # share of the time-out that makes an answer slow; calls that may be made ahead of their credit.
-BLIND_AFTER, LEAST_PART, PART_SEEN, RAISE, SLOW_CUT, FAIL_CUT = 3, 0.1, 0.5, 0.02, 0.95, 0.9
+BLIND_AFTER, LEAST_PART, RAISE, SLOW_CUT, FAIL_CUT = 3, 0.03, 1.08, 0.9, 0.7
 CROWDED, CALLED_OFF, SLOW_CALL, AHEAD = 0.9, 0.5, 0.3, 3.0
 # Without an answer: what a total teaches of the part that comes through here, our share of the limit in such
 # parts; and the spread that chance gives small numbers, of reqs and of dispatches out.
@@ -42,16 +39,15 @@
 FAILED_AS = 4.0                                       # a failure weighs as an answer this many times too slow
 QUICK, SLOW = 0.25, 0.4                               # shares of the response target that move the places
 ELSEWHERE, DRAWN = 1.1, 8                             # cost of another zone; workers looked at for a req
-COLD_GAIN = 1.2                                       # a cold worker's work beside its share of a warm one's
+COLD_PART = 0.6                                       # of the push told to be too much, for a cold worker
 GUESS, GUESS_WEIGHT = 0.125, 0.2                      # of the response target, in answers, until some tell
-LAST_START = 2.0                                      # usual answer times that must be left to begin a req
+LAST_START, LOST = 2.0, 4.0                           # usual times: left to begin a req; out and likely lost
 ANSWER_MARGIN = SECOND // 50                          # before the client timeout, for a req still in line
 TIDY, IDLE = 10 * SECOND, 70 * SECOND                 # beyond any bucket kept and any ceiling filled
 
 
 class Mean:
-    """A mean over the last `tau` or so, brought up to date when it is read; it begins as `weight` values of
-    `start`, which never fade."""
+    """A mean over the last `tau` or so, and `weight` values of `start` that never fade."""
 
     def __init__(self, tau, now, start=0.0, weight=1.0):
         self.tau, self.at, self.sum, self.n, self.start, self.weight = tau, now, 0.0, 0.0, start, weight
@@ -185,8 +181,7 @@
         return req.first_ran + self.set.frontends[req.frontend].window if req.group else req.left_at
 
     def _give_up(self, req):
-        """Answer at once. A denial says that trying again is harmless, so a dispatch may have run only if
-        repeats are harmless too."""
+        """Answer at once; a denial says that trying again is harmless."""
         if req.first_ran is None or self.set.frontends[req.frontend].repeat is Repeat.REPLAYABLE:
             return self._deny(req, min(self.set.longest_return, SECOND // 2))
         self.orders.append(Abort(req.id))
@@ -208,14 +203,12 @@
         return UNASKED * max(tally.share, 1.0 / customer.doors) * tally.limit
 
     def _over_unasked(self, customer, tally, units):
-        """Without an answer: what the last total makes sure of, and our share of the limit on own counts,
-        with the spread that chance gives so small a number."""
-        if not tally.by_open and self._estimate(tally) > tally.limit:
-            return True
+        """Without an answer: what the last total makes sure of, and our share of the limit on own counts."""
         ours = self._ours(customer, tally)
         own = tally.was_own * tally.overlap(self.now) + tally.own
         # Where doors are many the share is less than one req: the first is let in all the same.
-        return own > max(units, ours + SPREAD * ours ** 0.5)
+        sure = not tally.by_open and self._estimate(tally) > tally.limit
+        return sure or own > max(units, ours + SPREAD * ours ** 0.5)
 
     def _return_in(self, tally, units):
         """When the estimate will have room again, if nothing more comes."""
@@ -243,8 +236,7 @@
         self._call(units, req if waits else None, customer, tally, tally.bucket)
         return waits
 
-    def _may_call(self, credit):
-        """Calls are made for a part of what is wanted: the same at few gatekeepers and at many."""
+    def _may_call(self, credit):  # for a part of what is wanted: the same at few gatekeepers and at many
         self.credit = min(2.0, self.credit + self.part)
         may = self.credit >= credit
         self.credit -= may
@@ -278,16 +270,18 @@
             del self.calls[told.name]
         if told.end is End.PASSED:
             if self.silent >= BLIND_AFTER:
-                self.part = max(self.part, PART_SEEN)
+                self.part = max(self.part, self.part_then)
             self.silent = 0
             slow = told.took > SLOW_CALL * self.set.count_timeout
-            self.part = self.part * SLOW_CUT if slow else min(1.0, self.part + RAISE)
+            self.part = self.part * SLOW_CUT if slow else min(1.0, self.part * RAISE)
             total = told.total + self.owed.get(told.name, 0.0) + sum(c[4] for c in pending)
             tally.told(bucket, total, units)
             if self.owed and self.part > CROWDED and (name := next(iter(self.owed))) not in self.calls:
                 self._call(0.0, None, customer, tally, -9, name)
         else:
             self.silent += 1
+            # Three lost calls in a crowd are no silence: after one the part is what it was then, not more.
+            self.part_then = self.part if self.silent <= BLIND_AFTER else self.part_then
             self.part *= FAIL_CUT
             if told.end in NEVER_RAN and units:
                 self._owe(told.name, units)
@@ -339,7 +333,7 @@
             return None
         fit = (w for w in self.ready if not req.group or w.place(req.group[0]) == req.group[1])
         few = islice((w for w in fit if self._has_place(w)), DRAWN)
-        return min(few, key=lambda w: self._cost(w) * (2.0 if w.id in req.avoid else 1.0), default=None)
+        return min(few, key=self._cost, default=None)
 
     def _rank(self, worker):
         """Puts a worker where it stands now: the fleet is never ranked for a req."""
@@ -361,35 +355,35 @@
         return worker.started and self.now - worker.started < self.set.warm_up
 
     def _cold_credit(self, worker):
-        """A cold worker earns work at its cold share of what a warm one gets from here, and starts owing a
-        part of a piece drawn by chance: the first pieces of all gatekeepers are spread over the time in which
-        each has earned one, under what it can do. Also covers one that restarts again and again, and waves of
-        replacements. Harms when most workers are cold at once: see the floor."""
+        """A cold worker earns work at its cold share of what a warm one gets here and starts owing a part
+        of a piece drawn by chance: the first pieces of all gatekeepers are spread over time. Also covers one
+        that restarts again and again, and waves. Harms when most are cold at once: see the floor."""
         since = self.now - self.set.warm_up
         piece = max(usual.read(self.now) for usual in self.usual)
         if not self.warm:
             return 0.0 if worker.out < 1 else -1.0
         pace = self.pace.total(self.now) / self.warm / PACE_TAU
         share = 1 - (1 - self.set.cold_share) * (worker.started - since) / self.set.warm_up
-        worker.credit = min(worker.credit + COLD_GAIN * share * pace * (self.now - worker.credit_at), piece)
+        share = min(1.0, max(1.0, COLD_PART * self.set.fall_multiple) * share)
+        worker.credit = min(worker.credit + share * pace * (self.now - worker.credit_at), piece)
         worker.credit_at = self.now
         return worker.credit
 
     def _cost(self, worker):
         away = ELSEWHERE if worker.zone != self.set.zone else 1.0
-        chance = 1.0 + 0.05 * self.random.random()
+        # A cold worker that has earned a piece comes first: those just proven good would leave it none.
+        chance = (0.5 if self._cold(worker) else 1.0) * (1.0 + 0.05 * self.random.random())
         return worker.slowness.read(self.now) * (worker.out + 1.0) * away * chance
 
     def _usual(self, req):
         return self.usual[req.frontend].read(self.now)
 
     def _dispatch(self, req, worker):
-        work = self._usual(req)
         worker.out, self.all_out = worker.out + 1, self.all_out + 1
         if self._cold(worker):
-            worker.credit -= work
+            worker.credit -= self._usual(req)
         else:
-            self.pace.add(self.now, work)
+            self.pace.add(self.now, self._usual(req))
         req.out[len(req.sent)] = worker
         req.sent.append(self.now)
         self.orders.append(Dispatch(req.id, worker.id, max(1, req.left_at - self.now)))
@@ -399,17 +393,25 @@
         self._wake(self.now + int(SLOW * self.set.frontends[req.frontend].target), self._overlong, req,
                    len(req.sent) - 1)
 
-    def _overlong(self, req, dispatch):
-        """A dispatch still out after so much of the response target: the places shrink now, not when it ends.
-        Holds against anything that slows many workers at once; harms after a run of heavy reqs."""
-        if dispatch in req.out:
+    def _overlong(self, req, dispatch, first=True):
+        """A dispatch out for long: the places shrink now, not when it ends; against anything that slows many
+        workers. While others answer well within the target it is likelier lost than slow, and after several
+        usual times its place is free again: a jam or a common slowness shows in the usual time. Harms after
+        a run of heavy reqs."""
+        if dispatch not in req.out:
+            return
+        worker, age, usual = req.out[dispatch], self.now - req.sent[dispatch], self._usual(req)
+        if first:
             self._refill(False)
-            self._took(req.out[dispatch], (self.now - req.sent[dispatch]) / self._usual(req))
+            self._took(worker, age / usual)
+        if age < LOST * usual or usual > QUICK * self.set.frontends[req.frontend].target:
+            return self._wake(self.now + max(1, int(usual)), self._overlong, req, dispatch, False)
+        req.lost.add(dispatch)
+        worker.out, self.all_out = worker.out - 1, self.all_out - 1
 
     def _took(self, worker, times):
-        """An answer, or what weighs as one, this many times the usual. It is remembered for as long as it
-        takes to meet every worker once from here: where gatekeepers are many each meets a worker seldom, and
-        would try the same slow ones over and over. Harms when a worker is well again soon."""
+        """An answer, or what weighs as one, this many times the usual; remembered until every worker was met
+        once: else many gatekeepers try the same slow ones over and over. Harms when one is soon well."""
         self.pace.total(self.now)
         meets = len(self.ready) * PACE_TAU / max(1.0, self.pace.n)
         worker.slowness.add(self.now, times)
@@ -424,7 +426,8 @@
         if (req := self.reqs.get(told.req)) is None:
             return
         if (worker := req.out.pop(told.dispatch, None)) is not None:
-            worker.out, self.all_out = worker.out - 1, self.all_out - 1
+            freed = told.dispatch in req.lost
+            worker.out, self.all_out = worker.out - 1 + freed, self.all_out - 1 + freed
             self._judge(worker, req, told)
             self._rank(worker)
         if told.end not in NEVER_RAN and req.first_ran is None:
@@ -437,7 +440,6 @@
         if told.closed:
             self._close(req)
         elif not req.closed and req.waits == OUTCOME and not req.out:
-            req.avoid.add(told.worker)
             self._resume(req, told)
         if req.closed and not req.out:
             self._forget(req)
@@ -466,7 +468,8 @@
         elif told.end not in (End.CANCELLED, End.UNSENT):
             self._took(worker, FAILED_AS)
             worker.run += 1
-            self._refill(False)
+            if told.end is End.FULL:
+                self._refill(False)
             if worker.run >= BENCH_AFTER:
                 self.benched.add(worker.id)
                 length = min(LONGEST_BENCH, BENCH << min(6, worker.run - BENCH_AFTER))
@@ -478,8 +481,7 @@
         self.set, self.random, self.launched = told.settings, Random(told.seed), self.now
         self.workers, self.customers, self.reqs, self.line = {}, {}, {}, []
         self.ready, self.benched, self.pace = [], set(), Mean(PACE_TAU, self.now)
-        self.calls, self.owed, self.silent, self.part, self.credit = {}, {}, 0, 1.0, 1.0
-        # A frontend long idle falls back on a guess of its usual answer time instead of on nothing.
+        self.calls, self.owed, self.silent, self.part, self.part_then, self.credit = {}, {}, 0, 1.0, 1.0, 1.0
         self.usual = [Mean(WORK_TAU, self.now, GUESS * f.target, GUESS_WEIGHT) for f in self.set.frontends]
         self.wakes, self.token, self.arrived, self.all_out = {}, 0, 0, 0
         self.fill, self.chance, self.drawn_until, self.woken = FIRST_PLACES / self.set.gatekeepers, 0.0, 0, 0
@@ -492,18 +494,17 @@
         req = self.reqs[told.req] = Req()
         req.id, req.frontend, req.customer, req.units = told.req, told.frontend, customer, told.units
         req.left_at = self.now + told.left
-        req.target_at = self.now + min(told.left, self.set.frontends[told.frontend].target)
+        req.target_at = min(req.left_at, self.now + self.set.frontends[told.frontend].target)
         req.waits, req.counted, req.over, req.sent, req.out = None, [], 0.0, [], {}
-        req.first_ran, req.group, req.closed, req.streams, req.avoid = None, None, False, False, set()
-        req.promised, req.order = 0.0, (0, 0)
+        req.first_ran, req.group, req.closed, req.streams = None, None, False, False
+        req.promised, req.order, req.lost = 0.0, (0, 0), set()
         customer.reqs += 1
         req.path = self._path(req)
         self._wake(req.left_at - ANSWER_MARGIN, self._overdue, req)
         self._resume(req, None)
 
     def _customer(self, told):
-        customer = self.customers.get(told.customer)
-        if customer is None:
+        if (customer := self.customers.get(told.customer)) is None:
             plan = self.set.plans[told.plan]
             customer = self.customers[told.customer] = Customer()
             customer.id, customer.plan, customer.doors = told.customer, told.plan, told.doors
@@ -535,8 +536,8 @@
         return max(self.now, min(at, self._window_end(req)))
 
     def _late(self, req):
-        """A req that can no longer make its response target leaves the line at once. The usual answer time
-        moves while it waits, so a timer that comes too early is set again: without that a req was lost."""
+        """A req that can no longer make its response target leaves the line at once. The usual time moves
+        while it waits, so a timer that comes too early is set again: without that a req was lost."""
         if req.closed or req.waits != PLACE:
             return
         if self.now < self._last_start(req):
@@ -545,8 +546,7 @@
         self._resume(req, None)
 
     def _overdue(self, req):
-        """A client's later try may leave less time than the counter takes to answer: whatever is still
-        undispatched shortly before the client timeout is answered then."""
+        """A later try may leave less time than the counter takes: what is still undispatched is answered."""
         if not req.closed and not req.out:
             self._give_up(req)
 
@@ -633,8 +633,7 @@
             full = not plan.ceiling_rate or self._ceiling(customer) >= plan.ceiling_depth / customer.doors
             if full and not customer.reqs and self.now - customer.seen > IDLE:
                 del self.customers[customer.id]
-        while len(self.owed) > MOST_OWED:
-            del self.owed[next(iter(self.owed))]
+        self.owed = dict(list(self.owed.items())[-MOST_OWED:])
         self.workers = {w.id: w for w in self.workers.values() if w.ready or w.out}
         self._wake(self.now + TIDY, self._tidy)
 
--- a/fernyard/interface.py
+++ b/fernyard/interface.py
@@ -85,6 +85,7 @@
     settles: bool
     longest_return: int
     cold_share: float
+    fall_multiple: float
     warm_up: int
 
 
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -27,7 +27,7 @@
     return i.Settings(**{**dict(
         frontends=(REPLAYABLE, UNIQUED, ONCE), plans=(BY_RATE, BY_OPEN, CEILING, FREE, BOTH), gatekeepers=2,
         zone=0, must_follow=False, max_dispatches=3, may_count=True, count_timeout=30 * MS, settles=False,
-        longest_return=0, cold_share=0.2, warm_up=10000 * MS), **other})
+        longest_return=0, cold_share=0.2, fall_multiple=2.0, warm_up=10000 * MS), **other})
 
 
 def machine(worker, cell=0, started=0, phase=i.Phase.READY):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -52,6 +52,18 @@
         self.calls.clear()
         self.kept("silent_counter")
 
+    def test_a_crowd_is_no_silence(self):
+        self.launch()
+        self.after(1500)
+        for req in range(1, 13):   # three of four calls are lost, again and again
+            self.arrive(req, plan=0, customer=req, doors=100)
+            self.after(30)
+            while self.calls:
+                self.count(1, i.End.PASSED if req % 4 == 0 else i.End.TIMEOUT)
+            self.lines.append(f"{'':8}   part of the calls: {self.gatekeeper.part:.2f}")
+        self.lines = [line for line in self.lines if "part" in line]
+        self.kept("crowd_no_silence")
+
     def test_turned_away_adds_ride_on_the_next(self):
         self.launch()
         self.after(1500)
@@ -222,6 +234,15 @@
                 self.end(out.id, worker=out.out[0].id)
         self.kept("part_of_a_place")
 
+    def test_a_dispatch_likely_lost_frees_its_place(self):
+        self.launch(machine(1), gatekeepers=20)
+        for req in range(1, 12):   # the answer of req 1 never comes, the others are prompt
+            self.arrive(req)
+            for out in [r for r in self.gatekeeper.reqs.values() if r.out and r.id > 1]:
+                self.end(out.id, worker=1)
+            self.after(100)
+        self.kept("likely_lost")
+
     def test_frontend_long_idle_keeps_a_usual_time(self):
         self.launch(machine(1))
         self.arrive(1)
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -13,7 +13,7 @@
 SETTINGS = {"allowed": {"mostTries": 3, "retryAfter": True, "maxRetryAfterMs": 500.0}, "balancers": 2,
             "classes": [{"aimMs": 1200.0, "hardLimitMs": 3000.0, "keyScope": "all", "repeatWindowMs": 5000.0,
                          "semantics": "guarded", "newKey": 1}], "tariffs": [{}],
-            "rules": {"coldShare": 0.15, "warmUpMs": 16000.0}, "unheardOf": {"x": 1}}
+            "rules": {"coldShare": 0.15, "fallMultiple": 2.0, "warmUpMs": 16000.0}, "unheardOf": {"x": 1}}
 
 
 def frame(*records, number=1, clock=500.0, size=None, count=None):
