--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -27,7 +27,7 @@
 CROWDED, CALLED_OFF, SLOW_CALL, AHEAD = 0.9, 0.5, 0.3, 3.0
 # Without an answer: what a total teaches of the part that comes through here, our share of the limit in such
 # parts; and the spread that chance gives small numbers, of reqs and of dispatches out.
-LEARN, UNASKED, SPREAD = 0.1, 1.5, 0.7
+LEARN, UNASKED, SPREAD = 0.1, 1.2, 0.7
 MOST_OWED = 5000                                      # names with units owed, through a long silence
 # Workers: places of one at first and at least over all gatekeepers, at most here; failures in a row that
 # bench one, and for how long.
