A tally knows its customer; the hold on a place and the dearest piece are written once

The customer was handed beside its tally through every call, count and entry of a req, always the tally's own. A place was taken and freed in three places by hand, once by arithmetic on a truth value; the dearest usual time was computed in two. A factor of 1.0 and a flag set right before it was set again are gone, and the comment on the counter's figures is wrapped and says what they are.

--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -19,10 +19,10 @@
 # The quota: bucket length and limit in bursts, and how long a name is kept on the counter.
 BUCKET_BURSTS, LIMIT_BURSTS = 1.25, 1.35
 SHORTEST_BUCKET, LONGEST_BUCKET, LONGEST_KEEP = SECOND // 2, 18 * SECOND, 60 * SECOND
-# The counter: calls failed in a row until none is waited for; the part of the wanted calls that is made, at
-# least; what an answer, a slow and a failed one make of it, in parts; below
-# which part takes-back and reads, and below which ends of dispatches are called only as that part allows; the
-# share of the time-out that makes an answer slow; calls that may be made ahead of their credit.
+# The counter: calls failed in a row until none is waited for; the least part of the wanted calls that is
+# made, and what an answer, a slow one and a failed call make of that part; below which part takes-back wait
+# and no previous bucket is read, and below which ends of dispatches are called only as it allows; the share
+# of the time-out that makes an answer slow; calls that may be made ahead of their credit.
 BLIND_AFTER, LEAST_PART, RAISE, SLOW_CUT, FAIL_CUT = 3, 0.03, 1.08, 0.9, 0.7
 CROWDED, CALLED_OFF, SLOW_CALL, AHEAD = 0.9, 0.5, 0.3, 3.0
 # Without an answer: what a total teaches of the part that comes through here, our share of the limit in such
@@ -34,8 +34,7 @@
 FIRST_PLACES, FEWEST_PLACES, MOST_PLACES = 6.0, 2.0, 16.0
 GROW, SHRINK, FEWEST_TELL = 0.25, 0.9, 6.0            # of the places, while all that is out is answered once
 BENCH_AFTER, BENCH, LONGEST_BENCH = 3, SECOND // 2, 4 * SECOND
-SLOW_TAU, WORK_TAU, PACE_TAU = 3 * SECOND, 5 * SECOND, 5 * SECOND
-MEETS, LONGEST_TAU = 1.0, 60 * SECOND                 # times all workers are met, for which one is remembered
+SLOW_TAU, LONGEST_TAU, WORK_TAU, PACE_TAU = 3 * SECOND, 60 * SECOND, 5 * SECOND, 5 * SECOND
 FAILED_AS = 4.0                                       # a failure weighs as an answer this many times too slow
 QUICK, SLOW = 0.25, 0.4                               # shares of the response target that move the places
 ELSEWHERE, DRAWN = 1.1, 8                             # cost of another zone; workers looked at for a req
@@ -69,9 +68,9 @@
 class Tally:
     """What is known of one customer's two buckets: by rate, or of dispatches out."""
 
-    def __init__(self, by_open, length, limit, doors):
-        self.by_open, self.length, self.limit, self.share = by_open, length, limit, 1.0 / doors
-        self.bucket, self.total, self.own = -2, 0.0, 0.0
+    def __init__(self, customer, by_open, length, limit):
+        self.customer, self.by_open, self.length, self.limit = customer, by_open, length, limit
+        self.share, self.bucket, self.total, self.own = 1.0 / customer.doors, -2, 0.0, 0.0
         self.was, self.was_own, self.was_known = 0.0, 0.0, False
 
     def roll(self, now):
@@ -141,16 +140,16 @@
         for tally in customer.tallies:
             tally.roll(self.now)
             units = 1.0 if tally.by_open else req.units
-            told = (yield COUNT) if self._ask(req, customer, tally, units) else None
+            told = (yield COUNT) if self._ask(req, tally, units) else None
             if told is not None and told.end is End.PASSED:
                 known = tally.was_known and not (tally.by_open and tally.was)
                 decides = self._estimate(tally, max(tally.was, tally.limit)) > tally.limit
                 if decides and not known and self.part > CROWDED:
-                    self._call(0.0, req, customer, tally, tally.bucket - 1)
+                    self._call(0.0, req, tally, tally.bucket - 1)
                     yield COUNT
                 over = self._estimate(tally) > tally.limit
             else:
-                over = self._over_unasked(customer, tally, units)
+                over = self._over_unasked(tally, units)
             req.over = max(req.over, self._estimate(tally) / tally.limit)
             if over:
                 return self._deny(req, self._return_in(tally, units))
@@ -193,18 +192,18 @@
 
     # The counter -------------------------------------------------------------------------------------------
 
-    def _name(self, customer, tally, bucket):
-        return customer.id | (((bucket * 2 + tally.by_open) & 0x3FFFFFFF) << 33)
+    def _name(self, tally, bucket):
+        return tally.customer.id | (((bucket * 2 + tally.by_open) & 0x3FFFFFFF) << 33)
 
     def _estimate(self, tally, was=None):
         return (tally.was if was is None else was) * tally.overlap(self.now) + tally.total
 
-    def _ours(self, customer, tally):
-        return UNASKED * max(tally.share, 1.0 / customer.doors) * tally.limit
+    def _ours(self, tally):
+        return UNASKED * max(tally.share, 1.0 / tally.customer.doors) * tally.limit
 
-    def _over_unasked(self, customer, tally, units):
+    def _over_unasked(self, tally, units):
         """Without an answer: what the last total makes sure of, and our share of the limit on own counts."""
-        ours = self._ours(customer, tally)
+        ours = self._ours(tally)
         own = tally.was_own * tally.overlap(self.now) + tally.own
         # Where doors are many the share is less than one req: the first is let in all the same.
         sure = not tally.by_open and self._estimate(tally) > tally.limit
@@ -216,24 +215,24 @@
         rest = tally.length - self.now % tally.length
         return SECOND // 5 if tally.by_open else max(0, int(rest - spare * tally.length))
 
-    def _ask(self, req, customer, tally, units):
+    def _ask(self, req, tally, units):
         """Add the req's units to its bucket. False: decide now, on own counts (see `_counted`)."""
         tally.put(tally.bucket, units)
-        req.counted.append((customer, tally, tally.bucket, units, True))
+        req.counted.append((tally, tally.bucket, units, True))
         if not self.set.may_count:
             return False
         # Ahead go those of whom our share is less than one req: without an answer each door lets its first
         # in. Plans by dispatches out stay behind, they need a second call at the end.
-        ahead = not tally.by_open and self._ours(customer, tally) < units
+        ahead = not tally.by_open and self._ours(tally) < units
         if not self._may_call(-AHEAD if ahead else 1.0):
             if tally.by_open:
                 # A +1 told late would only need its -1 told too: this dispatch stays on own counts.
-                req.counted[-1] = (customer, tally, tally.bucket, units, False)
+                req.counted[-1] = (tally, tally.bucket, units, False)
             else:
-                self._owe(self._name(customer, tally, tally.bucket), units)
+                self._owe(self._name(tally, tally.bucket), units)
             return False
         waits = self.silent < BLIND_AFTER
-        self._call(units, req if waits else None, customer, tally, tally.bucket)
+        self._call(units, req if waits else None, tally, tally.bucket)
         return waits
 
     def _may_call(self, credit):  # for a part of what is wanted: the same at few gatekeepers and at many
@@ -242,22 +241,22 @@
         self.credit -= may
         return may
 
-    def _call(self, units, req, customer, tally, bucket, name=None):
-        name = self._name(customer, tally, bucket) if name is None else name
+    def _call(self, units, req, tally, bucket, name=None):
+        name = self._name(tally, bucket) if name is None else name
         units += self.owed.pop(name, 0.0)
-        self.calls.setdefault(name, deque()).append((req, customer, tally, bucket, units))
+        self.calls.setdefault(name, deque()).append((req, tally, bucket, units))
         self.orders.append(Add(name, units, min(LONGEST_KEEP, 3 * tally.length + SECOND)))
 
     def _take_back(self, req):
         """Units of a req never sent, and the dispatch of one that has ended, go off the name they went on."""
-        for customer, tally, bucket, units, told in req.counted:
+        for tally, bucket, units, told in req.counted:
             tally.put(bucket, -units)
             if not told or not self.set.may_count or (bucket + 3) * tally.length < self.now:
                 continue
             if self.part > CROWDED or tally.by_open and (self.part > CALLED_OFF or self._may_call(1.0)):
-                self._call(-units, None, customer, tally, bucket)
+                self._call(-units, None, tally, bucket)
             else:
-                self._owe(self._name(customer, tally, bucket), -units)
+                self._owe(self._name(tally, bucket), -units)
         req.counted = []
 
     def _counted(self, told):
@@ -265,7 +264,7 @@
         them that is made, answers raise it; a req without one is decided at once on what is known, and its
         units ride on the next add. Also covers a lost link. Harms a customer that has just moved here."""
         pending = self.calls[told.name]
-        req, customer, tally, bucket, units = pending.popleft()
+        req, tally, bucket, units = pending.popleft()
         if not pending:
             del self.calls[told.name]
         if told.end is End.PASSED:
@@ -274,10 +273,10 @@
             self.silent = 0
             slow = told.took > SLOW_CALL * self.set.count_timeout
             self.part = self.part * SLOW_CUT if slow else min(1.0, self.part * RAISE)
-            total = told.total + self.owed.get(told.name, 0.0) + sum(c[4] for c in pending)
+            total = told.total + self.owed.get(told.name, 0.0) + sum(c[3] for c in pending)
             tally.told(bucket, total, units)
             if self.owed and self.part > CROWDED and (name := next(iter(self.owed))) not in self.calls:
-                self._call(0.0, None, customer, tally, -9, name)
+                self._call(0.0, None, tally, -9, name)
         else:
             self.silent += 1
             # Three lost calls in a crowd are no silence: after one the part is what it was then, not more.
@@ -358,14 +357,13 @@
         """A cold worker earns work at its cold share of what a warm one gets here and starts owing a part
         of a piece drawn by chance: the first pieces of all gatekeepers are spread over time. Also covers one
         that restarts again and again, and waves. Harms when most are cold at once: see the floor."""
-        since = self.now - self.set.warm_up
-        piece = max(usual.read(self.now) for usual in self.usual)
         if not self.warm:
             return 0.0 if worker.out < 1 else -1.0
         pace = self.pace.total(self.now) / self.warm / PACE_TAU
-        share = 1 - (1 - self.set.cold_share) * (worker.started - since) / self.set.warm_up
+        left = (worker.started + self.set.warm_up - self.now) / self.set.warm_up
+        share = 1 - (1 - self.set.cold_share) * left
         share = min(1.0, max(1.0, COLD_PART * self.set.fall_multiple) * share)
-        worker.credit = min(worker.credit + share * pace * (self.now - worker.credit_at), piece)
+        worker.credit = min(worker.credit + share * pace * (self.now - worker.credit_at), self._dearest())
         worker.credit_at = self.now
         return worker.credit
 
@@ -378,8 +376,14 @@
     def _usual(self, req):
         return self.usual[req.frontend].read(self.now)
 
+    def _dearest(self):
+        return max(usual.read(self.now) for usual in self.usual)
+
+    def _hold(self, worker, places):
+        worker.out, self.all_out = worker.out + places, self.all_out + places
+
     def _dispatch(self, req, worker):
-        worker.out, self.all_out = worker.out + 1, self.all_out + 1
+        self._hold(worker, 1)
         if self._cold(worker):
             worker.credit -= self._usual(req)
         else:
@@ -407,7 +411,7 @@
         if age < LOST * usual or usual > QUICK * self.set.frontends[req.frontend].target:
             return self._wake(self.now + max(1, int(usual)), self._overlong, req, dispatch, False)
         req.lost.add(dispatch)
-        worker.out, self.all_out = worker.out - 1, self.all_out - 1
+        self._hold(worker, -1)
 
     def _took(self, worker, times):
         """An answer, or what weighs as one, this many times the usual; remembered until every worker was met
@@ -415,7 +419,7 @@
         self.pace.total(self.now)
         meets = len(self.ready) * PACE_TAU / max(1.0, self.pace.n)
         worker.slowness.add(self.now, times)
-        worker.slowness.tau = min(LONGEST_TAU, SLOW_TAU + MEETS * meets)
+        worker.slowness.tau = min(LONGEST_TAU, SLOW_TAU + meets)
 
     def _refill(self, quick):
         """The places of a worker, learned from all outcomes here: one worker alone answers too seldom."""
@@ -426,8 +430,8 @@
         if (req := self.reqs.get(told.req)) is None:
             return
         if (worker := req.out.pop(told.dispatch, None)) is not None:
-            freed = told.dispatch in req.lost
-            worker.out, self.all_out = worker.out - 1 + freed, self.all_out - 1 + freed
+            if told.dispatch not in req.lost:
+                self._hold(worker, -1)
             self._judge(worker, req, told)
             self._rank(worker)
         if told.end not in NEVER_RAN and req.first_ran is None:
@@ -446,10 +450,10 @@
 
     def _settle(self, req, units):
         """The true units are told with the answer: the difference rides on the next add."""
-        for customer, tally, bucket, _, _ in req.counted:
+        for tally, bucket, _, _ in req.counted:
             if not tally.by_open:
                 tally.put(bucket, units - req.units)
-                self._owe(self._name(customer, tally, bucket), units - req.units)
+                self._owe(self._name(tally, bucket), units - req.units)
 
     def _owe(self, name, units):
         """Units known not added ride on the next add to the name."""
@@ -513,10 +517,10 @@
             if plan.rate:
                 length = int(BUCKET_BURSTS * plan.burst / plan.rate * SECOND)
                 length = min(LONGEST_BUCKET, max(SHORTEST_BUCKET, length))
-                customer.tallies.append(Tally(False, length, LIMIT_BURSTS * plan.burst, told.doors))
+                customer.tallies.append(Tally(customer, False, length, LIMIT_BURSTS * plan.burst))
             if plan.open:
                 length = min(LONGEST_KEEP // 3, 2 * max(f.timeout for f in self.set.frontends))
-                customer.tallies.append(Tally(True, length, plan.open, told.doors))
+                customer.tallies.append(Tally(customer, True, length, plan.open))
         customer.seen = self.now
         return customer
 
@@ -568,7 +572,7 @@
             return
         req.customer.reqs -= 1
         if req.sent:
-            req.counted = [c for c in req.counted if c[1].by_open]
+            req.counted = [c for c in req.counted if c[0].by_open]
         self._take_back(req)
 
     def _left(self, told):
@@ -608,8 +612,7 @@
         self.benched.discard(machine.worker)
         worker.id, worker.cell, worker.zone = machine.worker, machine.cell, machine.zone
         worker.started, worker.out, worker.run, worker.credit_at = machine.started, 0, 0, self.now
-        worker.credit = -self.random.random() * max(usual.read(self.now) for usual in self.usual)
-        worker.ready = False
+        worker.credit = -self.random.random() * self._dearest()
         worker.slowness = Mean(SLOW_TAU, self.now, 1.0)
         if self._cold(worker):
             self._wake(worker.started + self.set.warm_up, self._sort_workers)
