--- /dev/null
+++ b/fernyard/__main__.py
@@ -0,0 +1,53 @@
+"""fernyard: one gatekeeper.
+
+Usage:
+  fernyard serve [--log=LEVEL]
+  fernyard check [CONFIG]
+  fernyard version
+
+serve runs the gatekeeper that the configuration describes, until SIGTERM. SIGUSR1 prints its counts.
+check reads a configuration and says what it is for, or why it cannot be used.
+
+The configuration is CONFIG, or else the file that EDGE_CONFIG names.
+
+Options:
+  --log=LEVEL  debug, info, warning or error [default: info].
+"""
+
+import asyncio
+import logging
+import sys
+
+from docopt import docopt
+
+from . import __version__
+from .log import set_up
+from .settings import BadSettings, load_config
+from .settings.config import config_path
+
+
+def main(argv=None):
+    told = docopt(__doc__, argv=argv)
+    if told["version"]:
+        print(f"fernyard {__version__}")
+        return 0
+    try:
+        level = logging.getLevelNamesMapping().get(told["--log"].upper())
+        if level is None:
+            raise BadSettings(f"--log {told['--log']} is no level")
+        config = load_config(told["CONFIG"] or config_path())
+        if told["check"]:
+            print(f"{config.name} on {config.listen[0]}:{config.listen[1]}: {len(config.frontends)} frontends, "
+                  f"{len(config.plans)} plans, {len(config.known['instances'])} workers known")
+            return 0
+        set_up(level)
+        from .node import Node
+        asyncio.run(Node(config).run())
+    except (BadSettings, OSError) as why:
+        print(f"fernyard: {' '.join(str(why).split())}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/fernyard/clients/read.py
@@ -0,0 +1,65 @@
+"""What the decisions need of a req, taken out of it; the rest stays as it came."""
+
+import math
+import re
+from urllib.parse import unquote
+
+CUSTOMER = re.compile(r"[0-9A-Fa-f]{16}")
+MOST_CUSTOMER = 1 << 33
+ID, PLAN, LEFT, KEY, QUOTA = "X-Correlation-Id", "Plan", "X-Time-Left", "Idempotency-Key", "Quota-Info"
+
+
+class Malformed(Exception):
+    """No req of ours: answered with `status`, never passed on and never denied."""
+
+    def __init__(self, status, why):
+        super().__init__(why)
+        self.status = status
+
+
+class Reader:
+    def __init__(self, frontends, plans, uniqued, replayable, limits):
+        self.frontends, self.plans = frontends, plans
+        self.uniqued, self.replayable = uniqued, replayable   # numbers of frontends
+        self.longest = limits.longest_wait
+
+    def read(self, method, path, headers):
+        """(frontend, plan, customer, tenths of a millisecond left, units, doors)"""
+        if not path.startswith("/") or not path.isascii() or "#" in path:
+            raise Malformed(400, "path")
+        parts = path.partition("?")[0].split("/")
+        frontend = self.frontends.get(unquote(parts[1]))
+        if frontend is None or len(parts) < 3:
+            raise Malformed(404, "frontend")
+        if not CUSTOMER.fullmatch(parts[-1]) or (customer := int(parts[-1], 16)) >= MOST_CUSTOMER:
+            raise Malformed(400, "customer")
+        if method != ("GET" if frontend in self.replayable else "POST"):
+            raise Malformed(400, "method")
+        if not _clean(headers.get(ID)):
+            raise Malformed(400, "id")
+        key = headers.get(KEY)
+        if (key is None and frontend in self.uniqued) or (key is not None and not _clean(key)):
+            raise Malformed(400, "key")
+        plan = self.plans.get(headers.get(PLAN))
+        if plan is None:
+            raise Malformed(400, "plan")
+        try:
+            left = _number(headers.get(LEFT))
+            quota = dict(part.strip().split("=", 1) for part in headers.get(QUOTA, "").split(",") if part)
+            units, doors = _number(quota.get("units", "1")), int(quota.get("spread", "1"))
+        except (ValueError, TypeError):
+            raise Malformed(400, "figures") from None
+        if units < 0 or units > 1e9 or not 0 < doors < 1 << 16:
+            raise Malformed(400, "figures")
+        return frontend, plan, customer, max(1, int(min(left, self.longest) * 10_000)), units, doors
+
+
+def _clean(value):
+    return value and value.isascii() and value.isprintable()
+
+
+def _number(text):
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(text)
+    return value
--- /dev/null
+++ b/fernyard/clients/server.py
@@ -0,0 +1,130 @@
+"""Serves clients on aiohttp's low-level server: each req is reported, and answered when it is told to."""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from .read import ID, KEY, Malformed, Reader
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Taken:
+    """A req came in whole; `path`, `id`, `key` and `body` are as they came."""
+
+    number: int
+    method: str
+    path: str
+    id: str
+    key: str | None
+    content: str | None
+    body: bytes
+    frontend: int
+    plan: int
+    customer: int
+    left: int
+    units: float
+    doors: int
+
+
+@dataclass(slots=True)
+class Gone:
+    """The client of a req went away: nobody waits for its answer."""
+
+    number: int
+
+
+class ClientServer:
+    def __init__(self, config, report, counts):
+        self.limits, self.report, self.counts = config.limits, report, counts
+        repeats = [f.repeat.value for f in config.settings.frontends]
+        self.reader = Reader(config.frontends, config.plans,
+                             {n for n, repeat in enumerate(repeats) if repeat == "uniqued"},
+                             {n for n, repeat in enumerate(repeats) if repeat == "replayable"}, config.limits)
+        self.number, self.waiting, self.stopping = 0, {}, False
+        self.busy, self.used = set(), {}          # connections with a req in hand; order of their last use
+        self.listener = self.server = None
+
+    async def listen(self, host, port):
+        loop = asyncio.get_running_loop()
+        self.server = web.Server(
+            self._handle, handler_cancellation=True, access_log=None, auto_decompress=False,
+            keepalive_timeout=self.limits.client_idle, request_factory=self._request)
+        self.listener = await loop.create_server(self.server, host, port, backlog=self.limits.backlog)
+
+    def answer(self, number, status, body=b"", content=None, return_in=0):
+        """Answers a req whole; a client that has gone is not answered."""
+        waiting = self.waiting.pop(number, None)
+        if waiting is not None and not waiting.done():
+            waiting.set_result((status, body, content, return_in))
+
+    def stop(self):
+        """From now on each answer is the last on its connection."""
+        self.stopping = True
+
+    def close_idle(self, most=0):
+        """Closes connections between reqs, the longest unused first, until `most` are open."""
+        connections = self.server.connections
+        idle = sorted((c for c in connections if c not in self.busy), key=lambda c: self.used.get(c, 0))
+        for connection in idle[:len(connections) - most]:
+            connection.force_close()
+        self.used = {c: at for c, at in self.used.items() if c in self.busy or c in connections}
+
+    async def close(self, patience):
+        """Ends when all that was answered has been written, or after `patience` seconds."""
+        self.listener.close()
+        self.close_idle()
+        until = asyncio.get_running_loop().time() + patience
+        while self.server.connections and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.01)
+        await self.server.shutdown(0)
+
+    def _request(self, message, payload, protocol, writer, task):
+        return web.BaseRequest(message, payload, protocol, writer, task, self.server._loop,
+                               client_max_size=self.limits.body)
+
+    async def _handle(self, request):
+        path = request.raw_path
+        if path == "/healthz" and request.method == "GET":
+            return self._response(503 if self.stopping else 200)
+        try:
+            told = self.reader.read(request.method, path, request.headers)
+            body = await request.read() if request.body_exists else b""
+        except Malformed as why:
+            self.counts.add("malformed", str(why))
+            return self._response(why.status)
+        except web.HTTPRequestEntityTooLarge:
+            self.counts.add("malformed", "body")
+            return self._response(413)
+        self.number = number = self.number + 1
+        waiting = self.waiting[number] = asyncio.get_running_loop().create_future()
+        headers = request.headers
+        self.report(Taken(number, request.method, path, headers[ID], headers.get(KEY),
+                          headers.get("Content-Type"), body, *told))
+        connection = request.protocol
+        self.busy.add(connection)
+        if len(self.server.connections) > self.limits.clients:
+            self.close_idle(self.limits.clients)
+        try:
+            return self._response(*await waiting)
+        except asyncio.CancelledError:
+            self.report(Gone(number))
+            raise
+        finally:
+            self.waiting.pop(number, None)
+            self.busy.discard(connection)
+            self.used[connection] = number
+
+    def _response(self, status, body=b"", content=None, return_in=0):
+        headers = {}
+        if content:
+            headers["Content-Type"] = content
+        if return_in:
+            headers["Retry-After"] = f"{return_in / 10_000:.4f}"
+        response = web.Response(status=status, body=body, headers=headers)
+        if self.stopping:
+            response.force_close()
+        return response
--- /dev/null
+++ b/fernyard/counter/links.py
@@ -0,0 +1,154 @@
+"""Calls to the shared counter in RESP2, written one behind another on a few connections that stay open."""
+
+import asyncio
+import logging
+from collections import deque
+from dataclasses import dataclass
+
+import hiredis
+
+from ..interface import End
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Total:
+    """What came of one call."""
+
+    name: int
+    end: End
+    total: float
+    took: int
+
+
+class Counter:
+    """All calls of one name go over one connection, so their answers come in the order of the calls."""
+
+    def __init__(self, address, limits, report):
+        self.report, self.limits = report, limits
+        self.links = [Link(address, limits, self._over) for _ in range(limits.counters)]
+
+    def start(self):
+        for link in self.links:
+            link.open()
+
+    def call(self, name, amount, keep):
+        self.links[name % len(self.links)].call(Call(name, amount, keep))
+
+    def _over(self, call, end, total=0.0):
+        """The first end of a call counts; what comes later is dropped."""
+        if call.timer is not None:
+            call.timer.cancel()
+            call.timer = None
+            took = int((asyncio.get_running_loop().time() - call.began) * 10_000)
+            self.report(Total(call.name, end, total, took))
+
+    def close(self):
+        for link in self.links:
+            link.close()
+
+
+class Call:
+    __slots__ = ("name", "bytes", "began", "timer")
+
+    def __init__(self, name, amount, keep):
+        self.name = name
+        self.bytes = hiredis.pack_command(("CNT.ADD", str(name), repr(float(amount)), str(max(1, keep // 10))))
+
+
+class Link(asyncio.Protocol):
+    """One connection. `sent` holds the calls written, in order; `held` those that wait for it to come up."""
+
+    def __init__(self, address, limits, over):
+        self.address, self.limits, self.over = address, limits, over
+        self.sent, self.held, self.transport, self.opening, self.closed = deque(), deque(), None, None, False
+        self.reader, self.heard, self.made, self.pause = None, 0.0, 0.0, None
+
+    def call(self, call):
+        loop = asyncio.get_running_loop()
+        call.began = loop.time()
+        call.timer = loop.call_later(self.limits.count, self._late, call)
+        if self.transport is not None:
+            self.sent.append(call)
+            self.transport.write(call.bytes)
+        elif self.pause is not None:
+            self.over(call, End.NO_CONNECTION)
+        else:
+            self.held.append(call)
+            self.open()
+
+    def _late(self, call):
+        if call in self.held:
+            self.held.remove(call)
+            return self.over(call, End.NO_CONNECTION)
+        self.over(call, End.TIMEOUT)
+        # A machine that is cut off says nothing, and its connection stays open.
+        silent = asyncio.get_running_loop().time() - self.limits.counter_silence
+        if self.sent and (max(self.heard, self.sent[0].began) < silent
+                          or len(self.sent) > self.limits.counter_owed):
+            self.transport.abort()
+
+    def open(self):
+        if self.opening is None and self.transport is None and self.pause is None and not self.closed:
+            self.opening = asyncio.get_running_loop().create_task(self._connect())
+
+    async def _connect(self):
+        try:
+            async with asyncio.timeout(self.limits.connect):
+                await asyncio.get_running_loop().create_connection(lambda: self, *self.address)
+        except (OSError, TimeoutError):
+            self._wait()
+            while self.held:
+                self.over(self.held.popleft(), End.NO_CONNECTION)
+        finally:
+            self.opening = None
+
+    def _wait(self):
+        """Until the next try, calls end at once: nothing of them is written."""
+        def over():
+            self.pause = None
+        self.pause = asyncio.get_running_loop().call_later(self.limits.counter_pause, over)
+
+    def connection_made(self, transport):
+        self.transport, self.reader = transport, hiredis.Reader()
+        self.heard = self.made = asyncio.get_running_loop().time()
+        self.sent.extend(self.held)
+        if self.held:
+            transport.write(b"".join(call.bytes for call in self.held))
+        self.held.clear()
+
+    def data_received(self, data):
+        self.heard = asyncio.get_running_loop().time()
+        try:
+            self.reader.feed(data)
+            while (answer := self.reader.gets()) is not False:
+                if not self.sent:
+                    raise hiredis.ProtocolError("an answer to no call")
+                self._told(self.sent.popleft(), answer)
+        except (hiredis.ProtocolError, ValueError, TypeError) as why:
+            log.warning("counter_answer_unread why=%s", why)
+            self.transport.abort()
+
+    def _told(self, call, answer):
+        if isinstance(answer, hiredis.ReplyError):
+            busy = str(answer).startswith("BUSY")
+            if not busy:
+                log.warning("counter_refused why=%s", answer)
+            self.over(call, End.FULL if busy else End.UNSENT)
+        else:
+            self.over(call, End.PASSED, float(answer))
+
+    def connection_lost(self, why):
+        self.transport = None
+        while self.sent:
+            self.over(self.sent.popleft(), End.RESET)
+        if asyncio.get_running_loop().time() - self.made > self.limits.counter_pause:
+            self.open()
+        else:
+            self._wait()
+
+    def close(self):
+        self.closed = True
+        if self.transport is not None:
+            self.transport.close()
--- /dev/null
+++ b/fernyard/node/__init__.py
@@ -0,0 +1,5 @@
+"""One gatekeeper on sockets: the reducer that owns all state, and the runner of the effects it asks for."""
+
+from .runner import Node
+
+__all__ = ["Node"]
--- /dev/null
+++ b/fernyard/node/effects.py
@@ -0,0 +1,58 @@
+"""What the reducer asks for: reading and writing is done by others."""
+
+from dataclasses import dataclass
+
+from ..clients import Taken
+
+
+@dataclass(slots=True)
+class Answer:
+    """The final answer of a req, whole. `return_in` in tenths of a millisecond."""
+
+    number: int
+    status: int
+    body: bytes = b""
+    content: str | None = None
+    return_in: int = 0
+
+
+@dataclass(slots=True)
+class Send:
+    """A dispatch; `limit` in tenths of a millisecond."""
+
+    number: int
+    dispatch: int
+    worker: str
+    address: str
+    req: Taken
+    limit: int
+
+
+@dataclass(slots=True)
+class GiveUp:
+    number: int
+    dispatch: int
+
+
+@dataclass(slots=True)
+class Call:
+    """An add on the counter; `keep` in tenths of a millisecond."""
+
+    name: int
+    amount: float
+    keep: int
+
+
+@dataclass(slots=True)
+class LastAnswers:
+    """Told to stop: each answer from now on is the last on its connection."""
+
+
+@dataclass(slots=True)
+class CloseIdle:
+    """No new connection comes any more: those between reqs are closed."""
+
+
+@dataclass(slots=True)
+class Finish:
+    """All that was taken is answered."""
--- /dev/null
+++ b/fernyard/node/reducer.py
@@ -0,0 +1,203 @@
+"""The one place where state changes: an event comes in, the decisions are asked, effects go out.
+
+It decides nothing itself: it turns what the sockets report into what the decisions are told, and their orders
+into effects.
+"""
+
+import logging
+from dataclasses import dataclass
+from heapq import heappop, heappush
+
+from .. import interface as i
+from ..clients import Gone, Taken
+from ..counter import Total
+from ..decide import Gatekeeper
+from ..discovery import Told
+from ..workers import Outcome
+from .effects import Answer, Call, CloseIdle, Finish, GiveUp, LastAnswers, Send
+
+log = logging.getLogger(__name__)
+PASSED, DENIED, ABORTED = 200, 429, 502
+
+
+@dataclass(slots=True)
+class Tick:
+    """A timer may be due."""
+
+
+@dataclass(slots=True)
+class Stop:
+    """The program was told to end."""
+
+
+class Held:
+    """A req from its arrival until it is answered and its last dispatch has ended."""
+
+    __slots__ = ("req", "sent", "out", "answered")
+
+    def __init__(self, req):
+        self.req, self.sent, self.out, self.answered = req, 0, 0, False
+
+
+class Reducer:
+    def __init__(self, config, counts, gatekeeper=None):
+        self.config, self.counts = config, counts
+        self.gatekeeper = gatekeeper or Gatekeeper()
+        self.now, self.effects, self.held, self.addresses = 0, [], {}, {}
+        self.timers, self.owed, self.stopping, self.closing = [], 0, False, False
+
+    def start(self, now):
+        """The first happenings: the settings, and the list as it was had last."""
+        self.now = now
+        _, _, machines, self.addresses = self.config.machines.read(self.config.known)
+        self._decide(i.Launched(self.config.settings, self.config.seed))
+        self._decide(i.Roster(i.News.CACHED, machines))
+        return self._asked()
+
+    def reduce(self, now, event):
+        """The effects of one event. The clock of the machine may step back; ours does not."""
+        self.now = max(self.now, now)
+        try:
+            HEAR[type(event)](self, event)
+        except Exception:
+            # Whatever one event breaks, all other reqs go on.
+            log.exception("event_fault kind=%s", type(event).__name__)
+            self._fault(getattr(event, "number", None))
+        if self.closing and not self.owed:
+            self.closing = False
+            self.effects.append(Finish())
+        return self._asked()
+
+    def next_timer(self):
+        return self.timers[0][0] if self.timers else None
+
+    def _asked(self):
+        effects, self.effects = self.effects, []
+        return effects
+
+    # Events ------------------------------------------------------------------------------------------------
+
+    def _taken(self, req):
+        self.held[req.number] = Held(req)
+        self.owed += 1
+        self.counts.add("taken")
+        self._decide(i.Arrived(req.number, req.frontend, req.plan, req.customer, req.left, req.units, req.doors),
+                     req.number)
+
+    def _gone(self, event):
+        held = self.held.get(event.number)
+        if held is not None and not held.answered:
+            self.counts.add("gone")
+            self._closed(event.number, held)
+            self._decide(i.Left(event.number), event.number)
+
+    def _ended(self, event):
+        held = self.held.get(event.number)
+        if held is None:
+            return
+        held.out -= 1
+        self.counts.add("ended", event.end.value)
+        if event.end is i.End.PASSED:
+            self._answer(event.number, PASSED, event.body, event.content)
+        else:
+            self._closed(event.number, held, held.answered)
+        self._decide(i.Ended(event.number, event.dispatch, event.worker, held.answered, event.end, event.took),
+                     event.number)
+
+    def _total(self, event):
+        self.counts.add("called", event.end.value)
+        self._decide(i.Counted(event.name, event.end, event.total, event.took))
+
+    def _told(self, event):
+        if event.machines is None:
+            self.counts.add("discovery", "failed")
+            return self._decide(i.Roster(i.News.FAILED))
+        self.counts.add("discovery", "whole" if event.whole else "changes")
+        if event.whole:
+            self.addresses = {}
+        self.addresses.update(event.addresses)
+        self._decide(i.Roster(i.News.WHOLE if event.whole else i.News.CHANGES, event.machines))
+
+    def _tick(self, _):
+        while self.timers and self.timers[0][0] <= self.now:
+            _, token = heappop(self.timers)
+            if token:
+                self._decide(i.Woke(token))
+            else:
+                self.closing = True
+                self.effects.append(CloseIdle())
+
+    def _stop(self, _):
+        if not self.stopping:
+            self.stopping = True
+            self.effects.append(LastAnswers())
+            heappush(self.timers, (self.now + int(self.config.limits.accept_after_stop * 10_000), 0))
+
+    # Orders ------------------------------------------------------------------------------------------------
+
+    def _decide(self, happening, number=None):
+        try:
+            orders = self.gatekeeper.step(self.now, happening)
+        except Exception:
+            log.exception("decision_fault told=%s", type(happening).__name__)
+            orders = self.gatekeeper.orders
+            self._carry_out(orders)
+            return self._fault(number)
+        self._carry_out(orders)
+
+    def _carry_out(self, orders):
+        for order in orders:
+            kind = type(order)
+            if kind is i.Wake:
+                heappush(self.timers, (self.now + order.after, order.token))
+            elif kind is i.Dispatch:
+                self._send(order)
+            elif kind is i.Add:
+                self.counts.add("calls")
+                self.effects.append(Call(order.name, order.amount, order.keep))
+            elif kind is i.Deny:
+                self._answer(order.req, DENIED, return_in=order.return_in)
+            elif kind is i.Abort:
+                self._answer(order.req, ABORTED)
+            elif kind is i.Cancel:
+                self.effects.append(GiveUp(order.req, order.dispatch))
+            elif kind is not i.Follow:      # the list is always followed
+                self.counts.add("order_unknown", kind.__name__)
+
+    def _send(self, order):
+        held, address = self.held.get(order.req), self.addresses.get(order.worker)
+        if held is None:
+            return
+        dispatch, held.sent, held.out = held.sent, held.sent + 1, held.out + 1
+        self.counts.add("dispatches")
+        self.effects.append(Send(order.req, dispatch, order.worker, address, held.req, order.limit))
+
+    def _answer(self, number, status, body=b"", content=None, return_in=0):
+        held = self.held.get(number)
+        if held is not None and not held.answered:
+            self.counts.add("answered", status)
+            self.effects.append(Answer(number, status, body, content, return_in))
+            self._closed(number, held)
+
+    def _closed(self, number, held, answered=True):
+        """Nothing is owed to a req that was answered or whose client has gone."""
+        if answered and not held.answered:
+            held.answered = True
+            self.owed -= 1
+        if held.answered and not held.out:
+            self.held.pop(number, None)
+
+    def _fault(self, number):
+        """A fault in one req aborts that req, and no other."""
+        self.counts.add("faults")
+        held = self.held.get(number)
+        if held is not None and not held.answered:
+            self._answer(number, ABORTED)
+            try:
+                self.gatekeeper.step(self.now, i.Left(number))
+            except Exception:
+                log.exception("decision_fault told=Left")
+
+
+HEAR = {Taken: Reducer._taken, Gone: Reducer._gone, Outcome: Reducer._ended, Total: Reducer._total,
+        Told: Reducer._told, Tick: Reducer._tick, Stop: Reducer._stop}
--- /dev/null
+++ b/fernyard/node/runner.py
@@ -0,0 +1,92 @@
+"""Runs one gatekeeper: events go to the reducer one by one, the effects it asks for are carried out."""
+
+import asyncio
+import signal
+import time
+from collections import deque
+
+from ..clients import ClientServer
+from ..counter import Counter
+from ..discovery import Told, Watch
+from ..log import Counts
+from ..workers import WorkerPool
+from . import effects as e
+from .reducer import Reducer, Stop, Tick
+
+FLUSH = 0.5   # seconds for the last answers to be written
+
+
+def clock():
+    """The machines' shared clock, in tenths of a millisecond."""
+    return int(time.time() * 10_000)
+
+
+class Node:
+    def __init__(self, config):
+        self.config, self.counts = config, Counts()
+        self.reducer = Reducer(config, self.counts)
+        self.events, self.draining = deque(), False
+        self.alarm, self.alarm_at = None, None
+        self.clients = ClientServer(config, self.post, self.counts)
+        self.workers = WorkerPool(config.limits, self.post)
+        self.discovery = Watch(config.discovery, config.machines, config.limits, self.post)
+        self.counter = Counter(config.counter, config.limits, self.post) if config.counter else None
+        self.do = {
+            e.Answer: lambda x: self.clients.answer(x.number, x.status, x.body, x.content, x.return_in),
+            e.Send: lambda x: self.workers.send(x.number, x.dispatch, x.worker, x.address, x.req, x.limit),
+            e.GiveUp: lambda x: self.workers.give_up(x.number, x.dispatch),
+            e.Call: lambda x: self.counter.call(x.name, x.amount, x.keep),
+            e.LastAnswers: lambda x: self.clients.stop(),
+            e.CloseIdle: lambda x: self.clients.close_idle(),
+            e.Finish: lambda x: self.finished.set_result(None),
+        }
+
+    async def run(self):
+        """Serves until told to stop and all that was taken is answered."""
+        self.loop = asyncio.get_running_loop()
+        self.finished = self.loop.create_future()
+        self.workers.start()
+        self._carry_out(self.reducer.start(clock()))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.post, Stop())
+        self.loop.add_signal_handler(signal.SIGUSR1, self.counts.print)
+        await self.clients.listen(*self.config.listen)
+        if self.counter is not None:
+            self.counter.start()
+        self.discovery.start()
+        await self.finished
+        await self.clients.close(FLUSH)
+        await self.discovery.close()
+        await self.workers.close()
+        if self.counter is not None:
+            self.counter.close()
+        self.counts.print()
+
+    def post(self, event):
+        """Changes of the list go before all else that is pending."""
+        if type(event) is Told:
+            self.events.appendleft(event)
+        else:
+            self.events.append(event)
+        if not self.draining:
+            self.draining = True
+            self.loop.call_soon(self._drain)
+
+    def _drain(self):
+        while self.events:
+            self._carry_out(self.reducer.reduce(clock(), self.events.popleft()))
+        self.draining = False
+
+    def _carry_out(self, effects):
+        for effect in effects:
+            self.do[type(effect)](effect)
+        at = self.reducer.next_timer()
+        if at is not None and (self.alarm_at is None or at < self.alarm_at):
+            if self.alarm is not None:
+                self.alarm.cancel()
+            self.alarm_at = at
+            self.alarm = self.loop.call_later(max(0, at - clock()) / 10_000, self._ring)
+
+    def _ring(self):
+        self.alarm = self.alarm_at = None
+        self.post(Tick())
--- /dev/null
+++ b/fernyard/settings/config.py
@@ -0,0 +1,69 @@
+"""The configuration of one gatekeeper, as its deployment hands it over."""
+
+import json
+import os
+from dataclasses import dataclass
+
+from .. import interface as i
+from .limits import Limits
+from .machines import Machines
+from .read import BadSettings, read_settings
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: str
+    counter: tuple[str, int] | None
+    seed: int
+    settings: i.Settings
+    frontends: dict[str, int]      # by the name in a req's path
+    plans: dict[str, int]
+    machines: Machines
+    known: dict
+    limits: Limits
+
+
+def load_config(path):
+    try:
+        with open(path, "rb") as file:
+            return read_config(json.load(file))
+    except OSError as why:
+        raise BadSettings(f"{path} cannot be read: {why.strerror}") from None
+    except ValueError as why:
+        raise BadSettings(f"{path}: {why}") from None
+
+
+def read_config(told):
+    try:
+        wire = told["settings"]
+        settings = read_settings(wire)
+        known = told.get("known") or {"generation": 0, "reset": True, "instances": []}
+        machines = Machines(wire.get("zones", ()))
+        machines.read(known)
+        return Config(
+            name=str(told["name"]), listen=address(told["listen"]), discovery="%s:%d" % address(told["discovery"]),
+            counter=address(told["counter"]) if told.get("counter") else None, seed=int(told["seed"], 16),
+            settings=settings,
+            frontends={c["name"]: at for at, c in enumerate(wire["classes"])},
+            plans={p["name"]: at for at, p in enumerate(wire.get("tariffs", ()))},
+            machines=machines, known=known, limits=Limits.fill(told.get("limits", {}), wire),
+        )
+    except BadSettings:
+        raise
+    except (ValueError, KeyError, TypeError, AttributeError) as why:
+        raise BadSettings(f"the configuration cannot be read: {type(why).__name__}: {why}") from None
+
+
+def address(text):
+    host, _, port = text.rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is no address")
+    return host, int(port)
+
+
+def config_path(environ=os.environ):
+    if not environ.get("EDGE_CONFIG"):
+        raise BadSettings("EDGE_CONFIG names no configuration file")
+    return environ["EDGE_CONFIG"]
--- /dev/null
+++ b/fernyard/settings/limits.py
@@ -0,0 +1,42 @@
+"""Sizes, counts and times of the program itself: filled once at start and handed down."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Times are in seconds. Descriptors are shared out: what is idle goes first, what is in use stays."""
+
+    body: int                  # bytes of a req or an answer
+    clients: int               # client connections, past which idle ones are closed
+    workers: int               # worker connections, past which none is kept idle
+    counters: int              # connections to the counter
+    backlog: int               # connections the kernel may hold for us
+    client_idle: float         # a client connection that stood idle so long is closed
+    worker_idle: float         # a worker connection that stood idle so long is not used again
+    connect: float             # a connection not up by then never came up
+    count: float               # a call to the counter unanswered by then is given up
+    counter_silence: float     # a counter connection with calls out and nothing heard is opened anew
+    counter_pause: float       # between two tries to connect to the counter
+    counter_owed: int          # calls unanswered on one connection, past which it is opened anew
+    watch: float               # how long discovery may wait before it answers a watch
+    watch_grace: float         # past that, the watch is asked anew
+    watch_pause: float         # between two tries after discovery could not be reached
+    accept_after_stop: float   # after SIGTERM new connections keep coming
+    longest_wait: float        # of a client, whatever it says
+
+    @classmethod
+    def fill(cls, told, settings):
+        """From the machine's limits and the settings as the operators word them."""
+        allowed, extra = settings.get("allowed", {}), settings.get("extra", {})
+        sockets = min(1024, int(told.get("sockets", 1024)))
+        return cls(
+            body=64 * 1024, clients=sockets // 2, workers=sockets // 4, counters=min(4, max(1, sockets // 64)),
+            backlog=512, client_idle=120.0,
+            worker_idle=min(60.0, 0.6 * allowed.get("connIdleMs", 15_000) / 1000),
+            connect=allowed.get("connectTimeoutMs", 250) / 1000,
+            count=extra.get("counterTimeoutMs", 50) / 1000,
+            counter_silence=1.0, counter_pause=0.1, counter_owed=2000,
+            watch=10.0, watch_grace=1.5, watch_pause=0.1,
+            accept_after_stop=0.5, longest_wait=600.0,
+        )
--- /dev/null
+++ b/fernyard/settings/machines.py
@@ -0,0 +1,38 @@
+"""Discovery's entries, into the machines that the decisions know; used for the list known at start too."""
+
+import math
+
+from .. import interface as i
+
+PHASES = {"ready": i.Phase.READY, "draining": i.Phase.DRAINING, "gone": i.Phase.GONE}
+
+
+class Machines:
+    """Reads lists of workers by the zone names of the settings. Raises ValueError for what is no such list."""
+
+    def __init__(self, zones):
+        self.zones = {name: number for number, name in enumerate(zones)}
+
+    def read(self, told):
+        """(version, whether it is the whole list, machines, address of each worker by its id)"""
+        try:
+            machines, addresses = [], {}
+            for entry in told["instances"]:
+                worker = sys_text(entry["instanceId"])
+                phase = PHASES[entry["lifecycle"]]
+                started = float(entry.get("startedAtMs") or 0)
+                if not math.isfinite(started):
+                    raise ValueError("startedAtMs is not a number")
+                machines.append(i.Machine(worker, int(started * 10), entry.get("cell", 0),
+                                          self.zones.get(entry.get("zone"), -1), phase))
+                if phase is not i.Phase.GONE:
+                    addresses[worker] = sys_text(entry["hostPort"])
+            return int(told["generation"]), bool(told.get("reset")), tuple(machines), addresses
+        except (KeyError, TypeError, AttributeError) as why:
+            raise ValueError(f"{type(why).__name__}: {why}") from None
+
+
+def sys_text(value):
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{value!r} is no text")
+    return value
--- a/fernyard/simhost/host.py
+++ b/fernyard/simhost/host.py
@@ -1,51 +1,17 @@
 """Hosts one set of decisions for each gatekeeper the simulator runs; turns the wire's words into ours."""
 
-import json
-import math
 import sys
 import traceback
 
 from .. import interface as i
 from ..decide import Gatekeeper
+from ..settings.read import BadSettings, read_settings, tenths
 from . import codec
 
 ENDS = {0: i.End.PASSED, 255: i.End.ERROR, 254: i.End.FULL, 253: i.End.TIMEOUT, 252: i.End.NO_CONNECTION,
         251: i.End.RESET, 250: i.End.CANCELLED, 249: i.End.UNSENT}
 PHASES = {0: i.Phase.GONE, 1: i.Phase.DRAINING, 2: i.Phase.READY}
 NEWS = {0: i.News.CHANGES, 1: i.News.WHOLE, 2: i.News.CACHED, 3: i.News.FAILED}
-REPEATS = {"free": i.Repeat.REPLAYABLE, "guarded": i.Repeat.UNIQUED, "single_shot": i.Repeat.NON_REPLAYABLE}
-
-
-def tenths(ms):
-    return int(math.floor(ms * 10 + 1e-6))
-
-
-def read_settings(text):
-    """The settings the decisions read, in our words; every other key is passed over."""
-    try:
-        told = json.loads(text)
-        allowed, extra, rules = told["allowed"], told.get("extra", {}), told["rules"]
-        return i.Settings(
-            frontends=tuple(i.Frontend(
-                target=tenths(c["aimMs"]), timeout=tenths(c["hardLimitMs"]), repeat=REPEATS[c["semantics"]],
-                group=i.Group(c.get("keyScope", "cell")), window=tenths(c.get("repeatWindowMs", 0)),
-            ) for c in told["classes"]),
-            plans=tuple(i.Plan(
-                rate=p.get("refill", 0), burst=p.get("burst", 0), open=p.get("open", 0),
-                ceiling_rate=p.get("ceilingRate", 0), ceiling_depth=p.get("capDepth", 0),
-            ) for p in told.get("tariffs", ())),
-            gatekeepers=max(1, told.get("balancers", 1)),
-            zone=told.get("zone", 0),
-            must_follow=told.get("membershipMode") == "subscribe",
-            max_dispatches=allowed.get("mostTries", 1),
-            may_count=extra.get("mayCount", False),
-            count_timeout=tenths(extra.get("counterTimeoutMs", 0)),
-            settles=extra.get("postPaid", False),
-            longest_return=tenths(allowed.get("maxRetryAfterMs", 0)) if allowed.get("retryAfter") else 0,
-            cold_share=rules["coldShare"], fall_multiple=rules["fallMultiple"], warm_up=tenths(rules["warmUpMs"]),
-        )
-    except (ValueError, KeyError, TypeError, AttributeError) as why:
-        raise codec.WireError(f"the settings cannot be read: {type(why).__name__}: {why}") from None
 
 
 class Host:
@@ -72,7 +38,10 @@
             self.gatekeepers.pop(who, None)
             return who, ()
         if code == codec.LAUNCH:
-            settings = read_settings(extra)
+            try:
+                settings = read_settings(extra)
+            except BadSettings as why:
+                raise codec.WireError(str(why)) from None
             self.gatekeepers[who] = gatekeeper = Gatekeeper()
             return who, self.decide(who, gatekeeper, now, i.Launched(settings, fields[1]))
         gatekeeper = self.gatekeepers.get(who)
--- /dev/null
+++ b/fernyard/workers/pool.py
@@ -0,0 +1,154 @@
+"""Dispatches on aiohttp's client: no redirects, no cookies, nothing decoded and nothing sent a second time."""
+
+import asyncio
+import logging
+import socket
+from dataclasses import dataclass
+
+import aiohttp
+from yarl import URL
+
+from ..interface import End
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Outcome:
+    """How a dispatch ended; times in tenths of a millisecond."""
+
+    number: int
+    dispatch: int
+    worker: str
+    end: End
+    took: int
+    body: bytes = b""
+    content: str | None = None
+
+
+class Broken(aiohttp.ClientError):
+    """A connection broke after it was up: the req may have run. (A class of our own: the client would send
+    a replayable req again by itself, had it broken with one of its own.)"""
+
+
+class NeverUp(aiohttp.ClientError):
+    """No connection was had: nothing was written."""
+
+
+async def _once(request, handler):
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as why:
+        raise NeverUp(str(why)) from None
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as why:
+        raise Broken(str(why)) from None
+
+
+class Socket(socket.socket):
+    """Tells its pool when it is closed, so that the descriptors in use are known."""
+
+    pool = None
+
+    def close(self):
+        if self.pool is not None:
+            self.pool.open -= 1
+            self.pool = None
+        super().close()
+
+
+class WorkerPool:
+    def __init__(self, limits, report):
+        self.limits, self.report, self.out, self.open = limits, report, {}, 0
+        self.session = None
+
+    def start(self):
+        connector = aiohttp.TCPConnector(limit=0, socket_factory=self._socket, keepalive_timeout=self.limits.worker_idle, ssl=False,
+                                         family=socket.AF_INET, happy_eyeballs_delay=None)
+        self.session = aiohttp.ClientSession(
+            connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=self.limits.connect), middlewares=(_once,),
+            skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent", "Content-Type"))
+
+    def _socket(self, info):
+        made = Socket(*info[:3])
+        made.pool, self.open = self, self.open + 1
+        return made
+
+    def send(self, number, dispatch, worker, address, req, limit):
+        """Writes `req` to the worker at `address` and reports one Outcome, at `limit` tenths at the latest."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        task = loop.create_task(self._dispatch(number, dispatch, worker, address, req, limit, began))
+        timer = loop.call_later(limit / 10_000, self._late, number, dispatch)
+        self.out[number, dispatch] = (task, timer, worker, began)
+
+    def give_up(self, number, dispatch, end=End.CANCELLED):
+        """Stops waiting: the connection is closed."""
+        task = self._over(number, dispatch, end)
+        if task is not None:
+            task.cancel()
+
+    def _late(self, number, dispatch):
+        self.give_up(number, dispatch, End.TIMEOUT)
+
+    def _over(self, number, dispatch, end, body=b"", content=None):
+        """The one place where a dispatch ends: the first to tell of it counts."""
+        out = self.out.pop((number, dispatch), None)
+        if out is None:
+            return None
+        task, timer, worker, began = out
+        timer.cancel()
+        took = int((asyncio.get_running_loop().time() - began) * 10_000)
+        self.report(Outcome(number, dispatch, worker, end, took, body, content))
+        return task
+
+    async def _dispatch(self, number, dispatch, worker, address, req, limit, began):
+        headers = {"X-Correlation-Id": req.id, "X-Time-Left": f"{limit / 10_000:.4f}"}
+        if req.key is not None:
+            headers["Idempotency-Key"] = req.key
+        if req.content is not None:
+            headers["Content-Type"] = req.content
+        if self.open >= self.limits.workers:
+            headers["Connection"] = "close"
+        try:
+            async with self.session.request(
+                    req.method, URL(f"http://{address}{req.path}", encoded=True), headers=headers,
+                    data=req.body or None, allow_redirects=False) as answer:
+                body = await self._body(answer)
+                if body is None:
+                    end = End.ERROR
+                elif answer.status == 200:
+                    end = End.PASSED
+                elif answer.status in (503, 504) and answer.headers.get("X-Unprocessed") == "1":
+                    end = End.FULL
+                else:
+                    end = End.ERROR
+                self._over(number, dispatch, end, body or b"", answer.headers.get("Content-Type"))
+        except NeverUp:
+            self._over(number, dispatch, End.NO_CONNECTION)
+        except aiohttp.ClientError:
+            self._over(number, dispatch, End.RESET)
+        except asyncio.CancelledError:
+            self._over(number, dispatch, End.CANCELLED)
+            raise
+        except Exception:
+            log.exception("dispatch_fault req=%s worker=%s", req.id, worker)
+            self._over(number, dispatch, End.RESET)
+
+    async def _body(self, answer):
+        """The whole body, or nothing where it is longer than may be: its connection is closed."""
+        if (answer.content_length or 0) <= self.limits.body:
+            chunks, size = [], 0
+            while not answer.content.at_eof():
+                chunk = await answer.content.readany()
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > self.limits.body:
+                    break
+            else:
+                return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        answer.close()
+        return None
+
+    async def close(self):
+        await self.session.close()
