Events go to the reducer at once, and timers due within 4 ms ring together

A sampling profile of the three processes showed no hot spot: an idle selector first, aiohttp's server and client next, the decisions a tenth. What costs is the number of turns of the event loop, so an event no longer waits for a turn of its own before it is reduced, and timers share a ring. Pooled worker connections go at 0.45 of the idle time: the client looks for expired ones only once in that time, and one was closed by its worker.

--- a/fernyard/node/runner.py
+++ b/fernyard/node/runner.py
@@ -13,6 +13,7 @@
 from . import effects as e
 from .reducer import Reducer, Stop, Tick
 
+GRAIN = 40    # tenths of a millisecond: timers that are due so close together ring together
 FLUSH = 0.5   # seconds for the last answers to be written
 
 
@@ -63,19 +64,20 @@
         self.counts.print()
 
     def post(self, event):
-        """Changes of the list go before all else that is pending."""
+        """An event goes to the reducer at once; one that comes while another is dealt with waits for it.
+        Changes of the list go before all else that is pending."""
         if type(event) is Told:
             self.events.appendleft(event)
         else:
             self.events.append(event)
-        if not self.draining:
-            self.draining = True
-            self.loop.call_soon(self._drain)
-
-    def _drain(self):
-        while self.events:
-            self._carry_out(self.reducer.reduce(clock(), self.events.popleft()))
-        self.draining = False
+        if self.draining:
+            return
+        self.draining = True
+        try:
+            while self.events:
+                self._carry_out(self.reducer.reduce(clock(), self.events.popleft()))
+        finally:
+            self.draining = False
 
     def _carry_out(self, effects):
         for effect in effects:
@@ -85,7 +87,7 @@
             if self.alarm is not None:
                 self.alarm.cancel()
             self.alarm_at = at
-            self.alarm = self.loop.call_later(max(0, at - clock()) / 10_000, self._ring)
+            self.alarm = self.loop.call_later((at + GRAIN - at % GRAIN - clock()) / 10_000, self._ring)
 
     def _ring(self):
         self.alarm = self.alarm_at = None
--- a/fernyard/settings/limits.py
+++ b/fernyard/settings/limits.py
@@ -33,7 +33,7 @@
         return cls(
             body=64 * 1024, clients=sockets // 2, workers=sockets // 4, counters=min(4, max(1, sockets // 64)),
             backlog=512, client_idle=120.0,
-            worker_idle=min(60.0, 0.6 * allowed.get("connIdleMs", 15_000) / 1000),
+            worker_idle=min(60.0, 0.45 * allowed.get("connIdleMs", 15_000) / 1000),
             connect=allowed.get("connectTimeoutMs", 250) / 1000,
             count=extra.get("counterTimeoutMs", 50) / 1000,
             counter_silence=1.0, counter_pause=0.1, counter_owed=2000,
