Tests of the sockets against stand-ins; a req whose client left is forgotten

Faults they found, each with its test: - a req whose client had gone stayed in the reducer when its dispatch passed (Reducer._ended popped it only for ends other than passed): memory grew. - a bare "?" at the end of a path was dropped by the client's URL: the raw target is now handed over whole. - an answer of the counter that is no number left its call to time out: it ends as a reset, with its connection. - each malformed message printed a traceback: they are counted instead. Also: effects that fail abort their req alone, orders given before a fault stand, the clock never steps back, a watch that does not wait is not asked in a spin.

--- a/fernyard/clients/server.py
+++ b/fernyard/clients/server.py
@@ -55,11 +55,11 @@
             keepalive_timeout=self.limits.client_idle, request_factory=self._request)
         self.listener = await loop.create_server(self.server, host, port, backlog=self.limits.backlog)
 
-    def answer(self, number, status, body=b"", content=None, return_in=0):
+    def answer(self, number, status, body, headers, return_in):
         """Answers a req whole; a client that has gone is not answered."""
         waiting = self.waiting.pop(number, None)
         if waiting is not None and not waiting.done():
-            waiting.set_result((status, body, content, return_in))
+            waiting.set_result((status, body, headers, return_in))
 
     def stop(self):
         """From now on each answer is the last on its connection."""
@@ -75,6 +75,8 @@
 
     async def close(self, patience):
         """Ends when all that was answered has been written, or after `patience` seconds."""
+        if self.listener is None:
+            return
         self.listener.close()
         self.close_idle()
         until = asyncio.get_running_loop().time() + patience
@@ -87,21 +89,33 @@
                                client_max_size=self.limits.body)
 
     async def _handle(self, request):
-        path = request.raw_path
+        try:
+            return await self._serve(request)
+        except (ConnectionError, asyncio.CancelledError):
+            raise
+        except Exception:
+            self.counts.add("faults")
+            log.exception("client_fault")
+            return self._response(500)
+
+    async def _serve(self, request):
+        path, headers = request.raw_path, request.headers
         if path == "/healthz" and request.method == "GET":
             return self._response(503 if self.stopping else 200)
         try:
-            told = self.reader.read(request.method, path, request.headers)
+            told = self.reader.read(request.method, path, headers)
+            if headers.get("Expect", "").lower() == "100-continue":
+                await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                request.writer.output_size = 0
             body = await request.read() if request.body_exists else b""
         except Malformed as why:
             self.counts.add("malformed", str(why))
             return self._response(why.status)
-        except web.HTTPRequestEntityTooLarge:
+        except (web.HTTPRequestEntityTooLarge, web.RequestPayloadError) as why:
             self.counts.add("malformed", "body")
-            return self._response(413)
+            return self._response(getattr(why, "status", 400))
         self.number = number = self.number + 1
         waiting = self.waiting[number] = asyncio.get_running_loop().create_future()
-        headers = request.headers
         self.report(Taken(number, request.method, path, headers[ID], headers.get(KEY),
                           headers.get("Content-Type"), body, *told))
         connection = request.protocol
@@ -118,12 +132,9 @@
             self.busy.discard(connection)
             self.used[connection] = number
 
-    def _response(self, status, body=b"", content=None, return_in=0):
-        headers = {}
-        if content:
-            headers["Content-Type"] = content
+    def _response(self, status, body=b"", headers=None, return_in=0):
         if return_in:
-            headers["Retry-After"] = f"{return_in / 10_000:.4f}"
+            headers = {"Retry-After": f"{return_in / 10_000:.4f}"}
         response = web.Response(status=status, body=body, headers=headers)
         if self.stopping:
             response.force_close()
--- a/fernyard/counter/links.py
+++ b/fernyard/counter/links.py
@@ -125,19 +125,17 @@
             while (answer := self.reader.gets()) is not False:
                 if not self.sent:
                     raise hiredis.ProtocolError("an answer to no call")
-                self._told(self.sent.popleft(), answer)
+                told = self._read(answer)
+                self.over(self.sent.popleft(), *told)
         except (hiredis.ProtocolError, ValueError, TypeError) as why:
             log.warning("counter_answer_unread why=%s", why)
             self.transport.abort()
 
-    def _told(self, call, answer):
+    @staticmethod
+    def _read(answer):
         if isinstance(answer, hiredis.ReplyError):
-            busy = str(answer).startswith("BUSY")
-            if not busy:
-                log.warning("counter_refused why=%s", answer)
-            self.over(call, End.FULL if busy else End.UNSENT)
-        else:
-            self.over(call, End.PASSED, float(answer))
+            return (End.FULL if str(answer).startswith("BUSY") else End.UNSENT,)
+        return End.PASSED, float(answer)
 
     def connection_lost(self, why):
         self.transport = None
--- a/fernyard/discovery/watch.py
+++ b/fernyard/discovery/watch.py
@@ -35,12 +35,15 @@
     async def _follow(self):
         version, failed = None, False
         while True:
+            asked = asyncio.get_running_loop().time()
             try:
                 version, told = await self._ask(version)
                 failed = False
                 if told.whole or told.machines:
                     self.report(told)
-            except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as why:
+                elif asyncio.get_running_loop().time() - asked < self.limits.watch_pause:
+                    await asyncio.sleep(self.limits.watch_pause)   # one that does not wait is not asked in a spin
+            except Exception as why:    # whatever came, the watch goes on
                 if not failed:
                     log.warning("discovery_unheard why=%s", type(why).__name__)
                     self.report(Told())
@@ -59,5 +62,6 @@
         return version, Told(whole, machines, addresses)
 
     async def close(self):
-        self.task.cancel()
-        await self.session.close()
+        if self.task is not None:
+            self.task.cancel()
+            await self.session.close()
--- a/fernyard/log/keyvalue.py
+++ b/fernyard/log/keyvalue.py
@@ -25,3 +25,6 @@
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValue())
     logging.basicConfig(level=level, handlers=[handler], force=True)
+    if level > logging.DEBUG:
+        # The server logs a traceback for each malformed message; those are counted.
+        logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
--- a/fernyard/node/effects.py
+++ b/fernyard/node/effects.py
@@ -12,7 +12,7 @@
     number: int
     status: int
     body: bytes = b""
-    content: str | None = None
+    headers: dict | None = None
     return_in: int = 0
 
 
--- a/fernyard/node/reducer.py
+++ b/fernyard/node/reducer.py
@@ -30,6 +30,13 @@
     """The program was told to end."""
 
 
+@dataclass(slots=True)
+class Fault:
+    """An effect could not be carried out; `number` names its req, if it has one."""
+
+    number: int | None
+
+
 class Held:
     """A req from its arrival until it is answered and its last dispatch has ended."""
 
@@ -50,8 +57,8 @@
         """The first happenings: the settings, and the list as it was had last."""
         self.now = now
         _, _, machines, self.addresses = self.config.machines.read(self.config.known)
-        self._decide(i.Launched(self.config.settings, self.config.seed))
-        self._decide(i.Roster(i.News.CACHED, machines))
+        for happening in i.Launched(self.config.settings, self.config.seed), i.Roster(i.News.CACHED, machines):
+            self._carry_out(self.gatekeeper.step(now, happening))
         return self._asked()
 
     def reduce(self, now, event):
@@ -98,9 +105,8 @@
         held.out -= 1
         self.counts.add("ended", event.end.value)
         if event.end is i.End.PASSED:
-            self._answer(event.number, PASSED, event.body, event.content)
-        else:
-            self._closed(event.number, held, held.answered)
+            self._answer(event.number, PASSED, event.body, event.headers)
+        self._closed(event.number, held, held.answered)
         self._decide(i.Ended(event.number, event.dispatch, event.worker, held.answered, event.end, event.took),
                      event.number)
 
@@ -133,17 +139,18 @@
             self.effects.append(LastAnswers())
             heappush(self.timers, (self.now + int(self.config.limits.accept_after_stop * 10_000), 0))
 
+    def _faulted(self, event):
+        self._fault(event.number)
+
     # Orders ------------------------------------------------------------------------------------------------
 
     def _decide(self, happening, number=None):
         try:
-            orders = self.gatekeeper.step(self.now, happening)
+            self._carry_out(self.gatekeeper.step(self.now, happening))
         except Exception:
             log.exception("decision_fault told=%s", type(happening).__name__)
-            orders = self.gatekeeper.orders
-            self._carry_out(orders)
-            return self._fault(number)
-        self._carry_out(orders)
+            self._carry_out(self.gatekeeper.orders)   # what was ordered before the fault stands
+            self._fault(number)
 
     def _carry_out(self, orders):
         for order in orders:
@@ -172,11 +179,11 @@
         self.counts.add("dispatches")
         self.effects.append(Send(order.req, dispatch, order.worker, address, held.req, order.limit))
 
-    def _answer(self, number, status, body=b"", content=None, return_in=0):
+    def _answer(self, number, status, body=b"", headers=None, return_in=0):
         held = self.held.get(number)
         if held is not None and not held.answered:
             self.counts.add("answered", status)
-            self.effects.append(Answer(number, status, body, content, return_in))
+            self.effects.append(Answer(number, status, body, headers, return_in))
             self._closed(number, held)
 
     def _closed(self, number, held, answered=True):
@@ -200,4 +207,4 @@
 
 
 HEAR = {Taken: Reducer._taken, Gone: Reducer._gone, Outcome: Reducer._ended, Total: Reducer._total,
-        Told: Reducer._told, Tick: Reducer._tick, Stop: Reducer._stop}
+        Told: Reducer._told, Tick: Reducer._tick, Stop: Reducer._stop, Fault: Reducer._faulted}
--- a/fernyard/node/runner.py
+++ b/fernyard/node/runner.py
@@ -1,8 +1,8 @@
 """Runs one gatekeeper: events go to the reducer one by one, the effects it asks for are carried out."""
 
 import asyncio
+import logging
 import signal
-import time
 from collections import deque
 
 from ..clients import ClientServer
@@ -11,29 +11,24 @@
 from ..log import Counts
 from ..workers import WorkerPool
 from . import effects as e
-from .reducer import Reducer, Stop, Tick
+from .clock import Clock
+from .reducer import Fault, Reducer, Stop, Tick
 
-GRAIN = 40    # tenths of a millisecond: timers that are due so close together ring together
-FLUSH = 0.5   # seconds for the last answers to be written
-
-
-def clock():
-    """The machines' shared clock, in tenths of a millisecond."""
-    return int(time.time() * 10_000)
+log = logging.getLogger(__name__)
 
 
 class Node:
     def __init__(self, config):
         self.config, self.counts = config, Counts()
         self.reducer = Reducer(config, self.counts)
-        self.events, self.draining = deque(), False
+        self.clock, self.events, self.draining = Clock(), deque(), False
         self.alarm, self.alarm_at = None, None
         self.clients = ClientServer(config, self.post, self.counts)
         self.workers = WorkerPool(config.limits, self.post)
         self.discovery = Watch(config.discovery, config.machines, config.limits, self.post)
         self.counter = Counter(config.counter, config.limits, self.post) if config.counter else None
         self.do = {
-            e.Answer: lambda x: self.clients.answer(x.number, x.status, x.body, x.content, x.return_in),
+            e.Answer: lambda x: self.clients.answer(x.number, x.status, x.body, x.headers, x.return_in),
             e.Send: lambda x: self.workers.send(x.number, x.dispatch, x.worker, x.address, x.req, x.limit),
             e.GiveUp: lambda x: self.workers.give_up(x.number, x.dispatch),
             e.Call: lambda x: self.counter.call(x.name, x.amount, x.keep),
@@ -46,22 +41,25 @@
         """Serves until told to stop and all that was taken is answered."""
         self.loop = asyncio.get_running_loop()
         self.finished = self.loop.create_future()
-        self.workers.start()
-        self._carry_out(self.reducer.start(clock()))
+        self._carry_out(self.reducer.start(self.clock()))
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.post, Stop())
         self.loop.add_signal_handler(signal.SIGUSR1, self.counts.print)
-        await self.clients.listen(*self.config.listen)
-        if self.counter is not None:
-            self.counter.start()
-        self.discovery.start()
-        await self.finished
-        await self.clients.close(FLUSH)
-        await self.discovery.close()
-        await self.workers.close()
-        if self.counter is not None:
-            self.counter.close()
-        self.counts.print()
+        self.workers.start()
+        try:
+            await self.clients.listen(*self.config.listen)
+            if self.counter is not None:
+                self.counter.start()
+            self.discovery.start()
+            await self.finished
+            await self.clients.close(self.config.limits.flush)
+            self.counts.print()
+        finally:
+            await self.clients.close(0)
+            await self.discovery.close()
+            await self.workers.close()
+            if self.counter is not None:
+                self.counter.close()
 
     def post(self, event):
         """An event goes to the reducer at once; one that comes while another is dealt with waits for it.
@@ -75,19 +73,24 @@
         self.draining = True
         try:
             while self.events:
-                self._carry_out(self.reducer.reduce(clock(), self.events.popleft()))
+                self._carry_out(self.reducer.reduce(self.clock(), self.events.popleft()))
         finally:
             self.draining = False
 
     def _carry_out(self, effects):
         for effect in effects:
-            self.do[type(effect)](effect)
+            try:
+                self.do[type(effect)](effect)
+            except Exception:
+                log.exception("effect_fault kind=%s", type(effect).__name__)
+                self.post(Fault(getattr(effect, "number", None)))
         at = self.reducer.next_timer()
         if at is not None and (self.alarm_at is None or at < self.alarm_at):
             if self.alarm is not None:
                 self.alarm.cancel()
-            self.alarm_at = at
-            self.alarm = self.loop.call_later((at + GRAIN - at % GRAIN - clock()) / 10_000, self._ring)
+            grain, self.alarm_at = int(self.config.limits.grain * 10_000), at
+            due = at + grain - at % grain
+            self.alarm = self.loop.call_later((due - self.clock()) / 10_000, self._ring)
 
     def _ring(self):
         self.alarm = self.alarm_at = None
--- a/fernyard/settings/config.py
+++ b/fernyard/settings/config.py
@@ -42,6 +42,8 @@
         known = told.get("known") or {"generation": 0, "reset": True, "instances": []}
         machines = Machines(wire.get("zones", ()))
         machines.read(known)
+        if settings.may_count and not told.get("counter"):
+            raise ValueError("a counter may be called and none is named")
         return Config(
             name=str(told["name"]), listen=address(told["listen"]), discovery="%s:%d" % address(told["discovery"]),
             counter=address(told["counter"]) if told.get("counter") else None, seed=int(told["seed"], 16),
--- a/fernyard/settings/limits.py
+++ b/fernyard/settings/limits.py
@@ -24,6 +24,8 @@
     watch_pause: float         # between two tries after discovery could not be reached
     accept_after_stop: float   # after SIGTERM new connections keep coming
     longest_wait: float        # of a client, whatever it says
+    grain: float               # timers due so close together ring together
+    flush: float               # for the last answers to be written
 
     @classmethod
     def fill(cls, told, settings):
@@ -38,5 +40,5 @@
             count=extra.get("counterTimeoutMs", 50) / 1000,
             counter_silence=1.0, counter_pause=0.1, counter_owed=2000,
             watch=10.0, watch_grace=1.5, watch_pause=0.1,
-            accept_after_stop=0.5, longest_wait=600.0,
+            accept_after_stop=0.5, longest_wait=600.0, grain=0.004, flush=0.5,
         )
--- a/fernyard/settings/machines.py
+++ b/fernyard/settings/machines.py
@@ -18,7 +18,7 @@
         try:
             machines, addresses = [], {}
             for entry in told["instances"]:
-                worker = sys_text(entry["instanceId"])
+                worker = _text(entry["instanceId"])
                 phase = PHASES[entry["lifecycle"]]
                 started = float(entry.get("startedAtMs") or 0)
                 if not math.isfinite(started):
@@ -26,13 +26,13 @@
                 machines.append(i.Machine(worker, int(started * 10), entry.get("cell", 0),
                                           self.zones.get(entry.get("zone"), -1), phase))
                 if phase is not i.Phase.GONE:
-                    addresses[worker] = sys_text(entry["hostPort"])
+                    addresses[worker] = _text(entry["hostPort"])
             return int(told["generation"]), bool(told.get("reset")), tuple(machines), addresses
         except (KeyError, TypeError, AttributeError) as why:
             raise ValueError(f"{type(why).__name__}: {why}") from None
 
 
-def sys_text(value):
+def _text(value):
     if not isinstance(value, str) or not value:
         raise ValueError(f"{value!r} is no text")
     return value
--- a/fernyard/workers/pool.py
+++ b/fernyard/workers/pool.py
@@ -11,6 +11,7 @@
 from ..interface import End
 
 log = logging.getLogger(__name__)
+ABOUT_BODY = ("Content-Type", "Content-Encoding")   # goes on to the client with the body
 
 
 @dataclass(slots=True)
@@ -23,7 +24,7 @@
     end: End
     took: int
     body: bytes = b""
-    content: str | None = None
+    headers: dict | None = None
 
 
 class Broken(aiohttp.ClientError):
@@ -78,7 +79,7 @@
         """Writes `req` to the worker at `address` and reports one Outcome, at `limit` tenths at the latest."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        task = loop.create_task(self._dispatch(number, dispatch, worker, address, req, limit, began))
+        task = loop.create_task(self._dispatch(number, dispatch, address, req, limit))
         timer = loop.call_later(limit / 10_000, self._late, number, dispatch)
         self.out[number, dispatch] = (task, timer, worker, began)
 
@@ -91,7 +92,7 @@
     def _late(self, number, dispatch):
         self.give_up(number, dispatch, End.TIMEOUT)
 
-    def _over(self, number, dispatch, end, body=b"", content=None):
+    def _over(self, number, dispatch, end, body=b"", headers=None):
         """The one place where a dispatch ends: the first to tell of it counts."""
         out = self.out.pop((number, dispatch), None)
         if out is None:
@@ -99,10 +100,10 @@
         task, timer, worker, began = out
         timer.cancel()
         took = int((asyncio.get_running_loop().time() - began) * 10_000)
-        self.report(Outcome(number, dispatch, worker, end, took, body, content))
+        self.report(Outcome(number, dispatch, worker, end, took, body, headers))
         return task
 
-    async def _dispatch(self, number, dispatch, worker, address, req, limit, began):
+    async def _dispatch(self, number, dispatch, address, req, limit):
         headers = {"X-Correlation-Id": req.id, "X-Time-Left": f"{limit / 10_000:.4f}"}
         if req.key is not None:
             headers["Idempotency-Key"] = req.key
@@ -112,7 +113,8 @@
             headers["Connection"] = "close"
         try:
             async with self.session.request(
-                    req.method, URL(f"http://{address}{req.path}", encoded=True), headers=headers,
+                    req.method, URL.build(scheme="http", authority=address, path=req.path, encoded=True),
+                    headers=headers,
                     data=req.body or None, allow_redirects=False) as answer:
                 body = await self._body(answer)
                 if body is None:
@@ -123,7 +125,8 @@
                     end = End.FULL
                 else:
                     end = End.ERROR
-                self._over(number, dispatch, end, body or b"", answer.headers.get("Content-Type"))
+                about = {name: answer.headers[name] for name in ABOUT_BODY if name in answer.headers}
+                self._over(number, dispatch, end, body or b"", about)
         except NeverUp:
             self._over(number, dispatch, End.NO_CONNECTION)
         except aiohttp.ClientError:
@@ -132,7 +135,7 @@
             self._over(number, dispatch, End.CANCELLED)
             raise
         except Exception:
-            log.exception("dispatch_fault req=%s worker=%s", req.id, worker)
+            log.exception("dispatch_fault address=%s", address)
             self._over(number, dispatch, End.RESET)
 
     async def _body(self, answer):
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -1,15 +1,21 @@
-"""Plays happenings to one gatekeeper and prints its decisions; compares them with a trace kept in tests/traces.
+"""Plays happenings to one gatekeeper, or bytes to one on sockets among stand-ins of what surrounds it, and prints
+what it does; compares that with a trace kept in tests/traces.
 
 With KEEP_TRACES set the traces are written instead: read the difference before you commit it.
 """
 
+import asyncio
 import difflib
+import logging
 import os
 import unittest
+from dataclasses import replace
 from pathlib import Path
 
 from fernyard import interface as i
 from fernyard.decide import Gatekeeper
+from fernyard.node import Node
+from fernyard.settings import read_config
 
 TRACES = Path(__file__).parent / "traces"
 MS = 10
@@ -34,9 +40,21 @@
     return i.Machine(worker, started, cell, 0, phase)
 
 
-class Play(unittest.TestCase):
+class Traced:
+    """A test that prints lines and compares them with those kept."""
+
     maxDiff = None
 
+    def kept(self, name):
+        path, text = TRACES / f"{name}.txt", "\n".join(self.lines) + "\n"
+        if os.environ.get("KEEP_TRACES"):
+            path.write_text(text)
+        before = path.read_text()
+        if text != before:
+            self.fail("\n".join(difflib.unified_diff(before.splitlines(), text.splitlines(), "kept", "now")))
+
+
+class Play(Traced, unittest.TestCase):
     def launch(self, *machines, **other):
         self.gatekeeper, self.now, self.lines, self.wakes, self.names = Gatekeeper(), 1_000_000, [], [], {}
         self.calls, self.sent, self.begun = [], {}, 1_000_000
@@ -105,10 +123,138 @@
         told = ", ".join(f"{m.worker} {m.phase.value}" for m in machines)
         self.tell(i.Roster(news, machines), f"roster ({news.value}): {told}")
 
-    def kept(self, name):
-        path, text = TRACES / f"{name}.txt", "\n".join(self.lines) + "\n"
-        if os.environ.get("KEEP_TRACES"):
-            path.write_text(text)
-        before = path.read_text()
-        if text != before:
-            self.fail("\n".join(difflib.unified_diff(before.splitlines(), text.splitlines(), "kept", "now")))
+
+# On sockets ------------------------------------------------------------------------------------------------
+
+HOST = "127.0.0.1"
+SETTINGS = {
+    "allowed": {"mostTries": 3, "connIdleMs": 2000.0, "connectTimeoutMs": 100.0, "retryAfter": True,
+                "maxRetryAfterMs": 500.0},
+    "balancers": 1, "zones": ["here"], "zone": 0, "extra": {"mayCount": True, "counterTimeoutMs": 60.0},
+    "classes": [{"name": "look up", "aimMs": 1000.0, "hardLimitMs": 3000.0, "semantics": "free"},
+                {"name": "keep", "aimMs": 1000.0, "hardLimitMs": 3000.0, "semantics": "guarded",
+                 "keyScope": "cell", "repeatWindowMs": 800.0}],
+    "tariffs": [{"name": "small", "refill": 2.0, "burst": 2.0}, {"name": "free"}],
+    "rules": {"coldShare": 0.2, "fallMultiple": 2.0, "warmUpMs": 1000.0}}
+PASSED = b"HTTP/1.1 200 OK\r\nContent-Type: a/b\r\nContent-Length: 5\r\n\r\nbooks"
+CUSTOMER = "00000000b4d65521"
+
+
+def entry(worker, port, lifecycle="ready"):
+    return {"instanceId": worker, "hostPort": f"{HOST}:{port}", "zone": "here", "cell": 1, "lifecycle": lifecycle,
+            "startedAtMs": 0}
+
+
+def configuration(listen=0, workers=(), discovery=1, counter=1, **other):
+    return {"name": "n1", "listen": f"{HOST}:{listen or 1}", "discovery": f"{HOST}:{discovery}", "seed": "7",
+            "limits": {"memory_mb": 192, "sockets": 1024}, "counter": f"{HOST}:{counter}",
+            "known": {"generation": 1, "reset": True, "instances": list(workers)}, "settings": SETTINGS, **other}
+
+
+def request(path=f"/look%20up/{CUSTOMER}", method="GET", body=b"", **headers):
+    told = {"X-Correlation-Id": "9b1f03aa", "Plan": "free", "X-Time-Left": "0.480",
+            "Quota-Info": "units=1,spread=1,first=0", "Content-Length": len(body),
+            **{name.replace("_", "-"): value for name, value in headers.items()}}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in told.items() if value is not None)
+    return f"{method} {path} HTTP/1.1\r\nHost: app\r\n{lines}\r\n".encode("utf-8", "surrogateescape") + body
+
+
+class StandIn:
+    """A party outside: reads messages and answers each by `reply(message)`: bytes to write, None for nothing,
+    and then, with `ends`, the end of the connection."""
+
+    def __init__(self, reply, ends=lambda message: False, read=None):
+        self.reply, self.ends, self.read = reply, ends, read or self.read_http
+        self.messages, self.connections, self.writers = [], 0, []
+
+    async def open(self, port=0):
+        self.server = await asyncio.start_server(self.serve, HOST, port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        self.writers.append(writer)
+        try:
+            while message := await self.read(reader):
+                self.messages.append(message)
+                answer = self.reply(message)
+                if asyncio.iscoroutine(answer):
+                    answer = await answer
+                writer.write(answer or b"")
+                if self.ends(message):
+                    break
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        writer.close()
+
+    @staticmethod
+    async def read_http(reader):
+        """(start line, headers, body), or nothing at the end."""
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        except asyncio.IncompleteReadError:
+            return None
+        headers = dict(line.split(": ", 1) for line in head[1:] if line)
+        return head[0], headers, await reader.readexactly(int(headers.get("Content-Length", 0)))
+
+
+class Sockets(Traced, unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.lines, self.opened, self.events, self.connections = [], [], [], []
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    async def asyncTearDown(self):
+        for opened in self.opened:
+            opened.server.close()
+            for writer in opened.writers:
+                writer.close()
+        for _, writer in self.connections:
+            writer.close()
+        await asyncio.sleep(0.01)
+
+    async def stand_in(self, reply, **other):
+        opened = await StandIn(reply, **other).open()
+        self.opened.append(opened)
+        return opened
+
+    def config(self, limits=None, **told):
+        config = read_config(configuration(**told))
+        return replace(config, limits=replace(config.limits, **(limits or {})))
+
+    async def gatekeeper(self, *workers, limits=None, counter=1, most=None):
+        """A gatekeeper that runs; the task of its run is `self.running`."""
+        silent = await self.stand_in(lambda message: None)
+        config = self.config(limits, workers=[entry(f"s-{n}", w.port) for n, w in enumerate(workers)],
+                             discovery=silent.port, counter=counter)
+        node = Node(replace(config, listen=(HOST, 0)))
+        self.running = asyncio.get_running_loop().create_task(node.run())
+        self.addAsyncCleanup(self.end, self.running)
+        while node.clients.listener is None:
+            await asyncio.sleep(0.005)
+        node.port = node.clients.listener.sockets[0].getsockname()[1]
+        return node
+
+    @staticmethod
+    async def end(task):
+        task.cancel()
+        await asyncio.wait([task])
+
+    async def connect(self, port):
+        self.connections.append(await asyncio.open_connection(HOST, port))
+        return self.connections[-1]
+
+    async def ask(self, node, data, connection=None):
+        """Status, headers and body of the answer; nothing where the connection ended instead."""
+        reader, writer = connection or await self.connect(node.port)
+        writer.write(data)
+        answer = await StandIn.read_http(reader)
+        return answer and (int(answer[0].split()[1]), answer[1], answer[2])
+
+    async def until(self, true):
+        for _ in range(400):
+            if true():
+                return
+            await asyncio.sleep(0.005)
+        self.fail("waited for in vain")
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,280 @@
+"""A whole gatekeeper on sockets, and its reducer alone."""
+
+import asyncio
+import json
+import logging
+import os
+import signal
+import sys
+import tempfile
+import unittest
+
+from fernyard import interface as i
+from fernyard.clients import Gone, Taken
+from fernyard.counter import Total
+from fernyard.discovery import Told
+from fernyard.log import Counts
+from fernyard.node.clock import Clock
+from fernyard.node.reducer import Fault, Reducer, Stop, Tick
+from fernyard.workers import Outcome
+
+from .helper import CUSTOMER, HOST, PASSED, Sockets, Traced, configuration, entry, read_config, request
+
+
+class Serving(Sockets):
+    async def test_what_goes_on_unchanged_is_kept_as_the_bytes_that_came(self):
+        worker = await self.stand_in(lambda message: PASSED)
+        node = await self.gatekeeper(worker)
+        body = bytes(range(256))
+        for data in (request(f"/look%20up/a%2Fb//../{CUSTOMER}?q=%7e+%C3%A9&&x"),
+                     request(f"/keep/{CUSTOMER}?", "POST", body, Idempotency_Key="K-1/=?", Content_Type="x/y"),
+                     request(f"/keep/{CUSTOMER}", "POST", Idempotency_Key="K-2")):
+            status, headers, answer = await self.ask(node, data)
+            start, told, came = worker.messages[-1]
+            self.lines += [start, *(f"  {name}: {told[name]}" for name in sorted(told)
+                                    if name not in ("Host", "X-Time-Left")),
+                           f"  body as it came: {came == (body if 'K-1/=?' in told.values() else b'')}",
+                           f"  {status} {headers['Content-Type']} {answer.decode()}"]
+            self.assertLessEqual(float(told["X-Time-Left"]), 0.48)
+        self.kept("goes_on")
+
+    async def test_malformed_is_no_req(self):
+        worker = await self.stand_in(lambda message: PASSED)
+        node = await self.gatekeeper(worker)
+        for words, data in (
+                ("unknown frontend", request(f"/hold/{CUSTOMER}")),
+                ("no customer", request("/look%20up/")),
+                ("customer too large", request("/look%20up/ffffffffffffffff")),
+                ("customer not hexadecimal", request("/look%20up/00000000b4d6552x")),
+                ("wrong method", request(method="POST")),
+                ("no id", request(X_Correlation_Id=None)),
+                ("id of other bytes", request(X_Correlation_Id="\udcff")),
+                ("no key", request(f"/keep/{CUSTOMER}", "POST")),
+                ("unknown plan", request(Plan="huge")),
+                ("no time left told", request(X_Time_Left=None)),
+                ("time left is no number", request(X_Time_Left="nan")),
+                ("units are no number", request(Quota_Info="units=many")),
+                ("no set", request(Quota_Info="units=1,spread=0")),
+                ("path of other bytes", request("/look%20up/\udcff")),
+                ("not the protocol", b"GET\r\n\r\n"),
+                ("body too long", request(f"/keep/{CUSTOMER}", "POST", b"x" * 70_000, Idempotency_Key="K"))):
+            answer = await self.ask(node, data)
+            self.lines.append(f"{words}: {answer[0]}")
+        self.lines.append(f"reached a worker: {len(worker.messages)}, taken: {node.counts.by_kind.get('taken', 0)}")
+        self.kept("malformed")
+
+    async def test_a_long_body_may_ask_before_it_comes(self):
+        worker = await self.stand_in(lambda message: PASSED)
+        node = await self.gatekeeper(worker)
+        reader, writer = await self.connect(node.port)
+        head, _, _ = request(f"/keep/{CUSTOMER}", "POST", b"body", Idempotency_Key="K",
+                             Expect="100-continue").partition(b"body")
+        writer.write(head)
+        self.assertEqual(await reader.readuntil(b"\r\n\r\n"), b"HTTP/1.1 100 Continue\r\n\r\n")
+        self.assertEqual((await self.ask(node, b"body", (reader, writer)))[0], 200)
+
+    async def test_a_client_gone_is_told_and_its_dispatch_ends_by_itself(self):
+        free = asyncio.Event()
+
+        async def later(message):
+            await free.wait()
+            return PASSED
+        worker = await self.stand_in(later)
+        node = await self.gatekeeper(worker)
+        _, writer = await self.connect(node.port)
+        writer.write(request())
+        await self.until(lambda: worker.messages)
+        writer.close()
+        await self.until(lambda: node.counts.by_kind.get("gone"))
+        free.set()
+        await self.until(lambda: not node.reducer.held)
+        self.assertEqual((len(worker.messages), node.counts.by_kind.get("ended.passed")), (1, 1))
+
+    async def test_a_silent_worker_is_given_up_and_the_client_answered_in_time(self):
+        worker = await self.stand_in(lambda message: asyncio.sleep(9))
+        node = await self.gatekeeper(worker)
+        began = asyncio.get_running_loop().time()
+        status, _, _ = await self.ask(node, request(X_Time_Left="0.2"))
+        self.assertEqual(status, 429)     # replayable: trying again is harmless
+        self.assertLess(asyncio.get_running_loop().time() - began, 0.25)
+
+    async def test_idle_client_connections_go_first(self):
+        worker = await self.stand_in(lambda message: PASSED)
+        node = await self.gatekeeper(worker, limits={"clients": 2})
+        first, second, third = [await self.connect(node.port) for _ in range(3)]
+        for name, connection in (("first", first), ("third", third), ("second", second), ("first", first)):
+            answer = await self.ask(node, request(), connection)
+            self.lines.append(f"{name}: {answer[0] if answer else 'closed while it was idle'}")
+        self.lines.append(f"open: {len(node.clients.server.connections)}")
+        self.kept("idle_first")
+
+    async def test_calls_and_denial_on_the_counter(self):
+        counter = await self.stand_in(lambda message: b"$1\r\n9\r\n", read=read_call)
+        worker = await self.stand_in(lambda message: PASSED)
+        node = await self.gatekeeper(worker, counter=counter.port)
+        status, headers, _ = await self.ask(node, request(Plan="small"))
+        self.assertEqual((status, float(headers["Retry-After"]) > 0, worker.messages), (429, True, []))
+        await self.until(lambda: len(counter.messages) == 3)
+        self.lines += [f"{m[0].decode()} {m[2].decode()} {m[3].decode()}" for m in counter.messages]
+        self.kept("counter_calls")     # added, the bucket before read, taken back
+
+
+async def read_call(reader):
+    """The parts of one call in RESP2, or nothing at the end."""
+    try:
+        count = int((await reader.readuntil(b"\r\n"))[1:])
+        parts = []
+        for _ in range(count):
+            size = int((await reader.readuntil(b"\r\n"))[1:])
+            parts.append((await reader.readexactly(size + 2))[:-2])
+        return parts
+    except asyncio.IncompleteReadError:
+        return None
+
+
+class Program(Sockets):
+    """The program itself, in a process of its own."""
+
+    async def start(self, told, *arguments):
+        with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
+            file.write(told if isinstance(told, str) else json.dumps(told))
+        self.addCleanup(os.unlink, file.name)
+        return await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-m", "fernyard", *(arguments or ("serve",)), stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE, env={**os.environ, "EDGE_CONFIG": file.name})
+
+    async def test_a_planned_end_answers_all_that_was_taken(self):
+        async def slow(message):
+            await asyncio.sleep(0.9)
+            return PASSED
+        worker, silent = await self.stand_in(slow), await self.stand_in(lambda message: None)
+        port = (await self.stand_in(None)).port
+        self.opened.pop().server.close()
+        program = await self.start(configuration(listen=port, workers=[entry("s-1", worker.port)],
+                                                 discovery=silent.port))
+        self.port, connections = port, []
+        while not connections:
+            try:
+                connections.append(await self.connect(port))
+            except OSError:
+                await asyncio.sleep(0.02)
+        ready = b"GET /healthz HTTP/1.1\r\nHost: app\r\n\r\n"
+        self.lines.append(f"healthz: {(await self.ask(self, ready, connections[0]))[0]}")
+        idle = await self.connect(port)
+        held = asyncio.create_task(self.ask(self, request(X_Time_Left="2"), connections[0]))
+        await self.until(lambda: worker.messages)
+        program.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        self.lines.append(f"told to end; healthz: {(await self.ask(self, ready))[0]}")
+        late = asyncio.create_task(self.ask(self, request(X_Time_Left="2")))   # on a new connection
+        for name, task in (("held", held), ("come late", late)):
+            status, headers, body = await task
+            self.lines.append(f"{name}: {status} {headers['Connection']} {body.decode()}")
+        self.lines.append(f"an idle connection then reads {await idle[0].read()!r}")
+        _, errors = await asyncio.wait_for(program.communicate(), 3)
+        counts = dict(field.split("=") for field in errors.decode().split() if "=" in field)
+        self.lines.append(f"exit {program.returncode}, taken {counts['taken']}, "
+                          f"passed {counts['answered.200']}")
+        self.kept("planned_end")
+
+    async def test_a_configuration_that_cannot_be_used(self):
+        told = configuration(settings={})
+        for words, bad in (("not JSON", "{"), ("nothing", "{}"), ("no settings", told),
+                           ("no address", configuration(listen="x")),
+                           ("an old list that is none", configuration(known={"generation": 1, "instances": [{}]})),
+                           ("no counter", configuration(counter=None) | {"counter": None})):
+            for command in ("serve", "check"):
+                program = await self.start(bad, command)
+                out, errors = await program.communicate()
+                self.assertEqual((program.returncode, out, errors.count(b"\n")), (2, b"", 1), (words, errors))
+        taken = await self.stand_in(None)
+        program = await self.start(configuration(listen=taken.port))
+        _, errors = await program.communicate()
+        self.assertEqual((program.returncode, errors.count(b"\n")), (2, 1), errors)
+        program = await self.start(configuration(), "check")
+        self.assertEqual((await program.communicate())[0].decode(),
+                         f"n1 on {HOST}:1: 2 frontends, 2 plans, 0 workers known\n")
+
+
+class Broken:
+    """Decisions that break where they are told to; all others dispatch."""
+
+    def __init__(self, at):
+        self.at, self.orders, self.told = at, [], []
+
+    def step(self, now, told):
+        self.orders = []
+        self.told.append((now, type(told).__name__))
+        if isinstance(told, i.Arrived):
+            self.orders.append(i.Dispatch(told.req, "s-1", 100))
+        if type(told).__name__ == self.at and getattr(told, "req", 1) == 1:
+            raise IndexError("a fault")
+        return self.orders
+
+
+class Reducing(Traced, unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.lines = []
+
+    def reducer(self, gatekeeper=None):
+        config = read_config(configuration(workers=[entry("s-1", 9)]))
+        self.made = Reducer(config, Counts(), gatekeeper)
+        self.made.start(1000)
+        return self.made
+
+    def tell(self, event, now=2000):
+        number = getattr(event, "number", "")
+        self.lines.append(f"{now} {type(event).__name__} {number}")
+        for effect in self.made.reduce(now, event):
+            fields = " ".join(str(getattr(effect, name)) for name in ("number", "status", "dispatch", "worker")
+                              if hasattr(effect, name))
+            self.lines.append(f"       -> {type(effect).__name__} {fields}".rstrip())
+
+    def taken(self, number):
+        return Taken(number, "GET", f"/look%20up/{CUSTOMER}", "id", None, None, b"", 0, 1, 5, 4000, 1.0, 1)
+
+    def test_a_fault_in_one_req_aborts_that_req_alone(self):
+        for at in ("Arrived", "Ended", "Left"):
+            self.reducer(Broken(at))
+            self.lines.append(f"the decisions break when told {at} of req 1")
+            for number in (1, 2):
+                self.tell(self.taken(number))
+            self.tell(Gone(1) if at == "Left" else Outcome(1, 0, "s-1", i.End.RESET, 5))
+            self.tell(Outcome(2, 0, "s-1", i.End.PASSED, 5, b"x"))
+            self.lines.append(f"faults {self.made.counts.by_kind['faults']}, owed {self.made.owed}")
+        self.kept("fault")
+
+    def test_one_answer_whatever_comes_after(self):
+        self.reducer(Broken(None))
+        for event in (self.taken(1), Outcome(1, 0, "s-1", i.End.PASSED, 5), Outcome(1, 0, "s-1", i.End.PASSED, 5),
+                      Gone(1), self.taken(2), Gone(2), Outcome(2, 0, "s-1", i.End.PASSED, 5), self.taken(3),
+                      Fault(3), Outcome(3, 0, "s-1", i.End.PASSED, 5), Gone(7), Total(1, i.End.PASSED, 1.0, 3)):
+            self.tell(event)
+        self.assertEqual((self.made.owed, self.made.held), (0, {}))
+        self.kept("one_answer")
+
+    def test_the_end_waits_for_what_is_owed(self):
+        self.reducer(Broken(None))
+        for now, event in ((2000, self.taken(1)), (2100, Stop()), (2200, Stop()), (7099, Tick()), (7100, Tick()),
+                           (8000, Outcome(1, 0, "s-1", i.End.PASSED, 5))):
+            self.tell(event, now)
+        self.kept("the_end")
+
+    def test_a_clock_set_back_never_steps_back(self):
+        machine = {"unix": 100.0, "steady": 5.0}
+        clock = Clock(lambda: machine["unix"], lambda: machine["steady"])
+        for unix, steady in ((101, 6), (91, 6), (93, 8), (97, 12), (110, 25), (113, 28), (120, 30)):
+            machine.update(unix=unix, steady=steady)
+            self.lines.append(f"the machine says {unix} after {steady}: {clock() / 10_000:g}")
+        self.kept("clock")
+
+    def test_a_whole_list_replaces_and_changes_add(self):
+        made = self.reducer()
+        machine = i.Machine("s-2", 0, 1, 0, i.Phase.READY)
+        self.tell(Told(False, (machine,), {"s-2": f"{HOST}:8"}))
+        self.assertEqual(sorted(made.addresses), ["s-1", "s-2"])
+        self.tell(Told(True, (machine,), {"s-2": f"{HOST}:7"}))
+        self.assertEqual(made.addresses, {"s-2": f"{HOST}:7"})
+        self.assertEqual([w.id for w in made.gatekeeper.ready], ["s-2"])
--- /dev/null
+++ b/tests/test_transports.py
@@ -0,0 +1,221 @@
+"""Workers, counter and discovery, each against a stand-in."""
+
+import asyncio
+import socket
+
+from fernyard import interface as i
+from fernyard.clients import Taken
+from fernyard.counter import Counter
+from fernyard.discovery import Watch
+from fernyard.workers import WorkerPool
+
+from .helper import CUSTOMER, HOST, PASSED, Sockets, entry
+from .test_node import read_call
+
+
+def answer(status, headers="", body=b"x"):
+    return f"HTTP/1.1 {status} W\r\nContent-Length: {len(body)}\r\n{headers}\r\n".encode() + body
+
+
+class Workers(Sockets):
+    async def pool(self, **limits):
+        pool = WorkerPool(self.config(limits).limits, self.events.append)
+        pool.start()
+        self.addAsyncCleanup(pool.close)
+        return pool
+
+    async def dispatch(self, pool, port, method="GET", limit=5000):
+        number = len(self.events) + 1
+        body = b"" if method == "GET" else b"body"
+        req = Taken(number, method, f"/look%20up/{CUSTOMER}", f"id{number}", None, None, body, 0, 0, 5, 9, 1, 1)
+        pool.send(number, 0, "s-1", f"{HOST}:{port}", req, limit)
+        await self.until(lambda: len(self.events) == number)
+        return self.events[-1].end
+
+    async def test_how_a_dispatch_ends(self):
+        cases = (("200", PASSED, False), ("500", answer(500), False),
+                 ("503 that says it did not run", answer(503, "X-Unprocessed: 1\r\n"), False),
+                 ("504 that says it did not run", answer(504, "X-Unprocessed: 1\r\n"), False),
+                 ("503 that does not say", answer(503), False), ("400", answer(400), False),
+                 ("a redirect", answer(302, "Location: /\r\n"), False),
+                 ("a body too long", answer(200, "", b"x" * 70_000), False),
+                 ("no HTTP", b"hello\r\n\r\n", True), ("nothing, then the end", b"", True),
+                 ("part of a body, then the end", PASSED[:-2], True))
+        pool = await self.pool()
+        for words, data, ends in cases:
+            worker = await self.stand_in(lambda message, data=data: data, ends=lambda message, ends=ends: ends)
+            end = await self.dispatch(pool, worker.port, "POST")
+            self.lines.append(f"{words}: {end.value}; sent {len(worker.messages)} time")
+        self.kept("dispatch_ends")
+
+    async def test_never_up_never_ran(self):
+        pool = await self.pool(connect=0.05)
+        closed = await self.stand_in(None)
+        closed.server.close()
+        self.assertIs(await self.dispatch(pool, closed.port), i.End.NO_CONNECTION)
+        full = socket.socket()         # a machine that says nothing: its queue of connections is full
+        full.bind((HOST, 0))
+        full.listen(0)
+        waiting = [socket.socket() for _ in range(3)]
+        for one in waiting:
+            one.setblocking(False)
+            one.connect_ex(full.getsockname())
+        self.assertIs(await self.dispatch(pool, full.getsockname()[1]), i.End.NO_CONNECTION)
+        for one in (full, *waiting):
+            one.close()
+
+    async def test_a_replayable_req_on_a_kept_connection_that_breaks_is_sent_once(self):
+        # The client library sends it again by itself unless it is kept from it: a dispatch nobody decided.
+        worker = await self.stand_in(lambda message: PASSED if len(worker.messages) == 1 else b"",
+                                     ends=lambda message: len(worker.messages) > 1)
+        pool = await self.pool()
+        ends = [await self.dispatch(pool, worker.port) for _ in range(2)]
+        self.assertEqual(ends, [i.End.PASSED, i.End.RESET])
+        self.assertEqual((len(worker.messages), worker.connections), (2, 1))
+
+    async def test_given_up_closes_the_connection(self):
+        worker = await self.stand_in(lambda message: asyncio.sleep(1))
+        pool = await self.pool()
+        self.assertIs(await self.dispatch(pool, worker.port, limit=300), i.End.TIMEOUT)
+        self.assertLess(abs(self.events[0].took - 300), 200)
+        await self.until(lambda: worker.server.sockets and pool.open == 0)
+        pool.send(9, 0, "s-1", f"{HOST}:{worker.port}", Taken(9, "GET", "/", "id", None, None, b"", 0, 0, 5, 9, 1, 1),
+                  9000)
+        await self.until(lambda: len(worker.messages) == 2)
+        pool.give_up(9, 0)
+        pool.give_up(9, 0)
+        self.assertEqual([e.end for e in self.events], [i.End.TIMEOUT, i.End.CANCELLED])
+
+    async def test_connections_are_kept_but_not_until_the_worker_drops_them(self):
+        worker = await self.stand_in(lambda message: PASSED)
+        pool = await self.pool(worker_idle=0.1)
+        for pause in (0, 0, 0.15):
+            await asyncio.sleep(pause)
+            await self.dispatch(pool, worker.port)
+            self.lines.append(f"after {pause} s: connections {worker.connections}")
+        self.kept("worker_idle")
+
+    async def test_past_its_descriptors_no_connection_is_kept(self):
+        worker = await self.stand_in(lambda message: answer(200, "Connection: close\r\n" * (
+            message[1].get("Connection") == "close")))
+        pool = await self.pool(workers=0)
+        for _ in range(3):
+            await self.dispatch(pool, worker.port)
+        await self.until(lambda: pool.open == 0)
+        self.assertEqual(worker.connections, 3)
+
+
+class Counting(Sockets):
+    async def counter(self, reply, **other):
+        self.far = await self.stand_in(reply, read=read_call, **other)
+        return await self.counter_at(self.far.port)
+
+    async def counter_at(self, port):
+        limits = self.config({"counters": 1, "counter_silence": 0.15}).limits
+        counter = Counter((HOST, port), limits, self.events.append)
+        counter.start()
+        self.addCleanup(counter.close)
+        await asyncio.sleep(0.02)
+        return counter
+
+    async def told(self, *names):
+        await self.until(lambda: len(self.events) >= len(names))
+        self.lines += [f"{e.name}: {e.end.value} {e.total:g}" for e in self.events]
+        self.events.clear()
+
+    async def test_answers_come_in_the_order_of_the_calls(self):
+        answers = iter((b"$3\r\n2.5\r\n", b"-BUSY\r\n", b"-ERR no\r\n", b"$2\r\n-1\r\n"))
+        counter = await self.counter(lambda message: next(answers))
+        for name in (11, 12, 13, 14):
+            counter.call(name, 1.5, 40_000)
+        await self.told(11, 12, 13, 14)
+        self.assertEqual(self.far.messages[0], [b"CNT.ADD", b"11", b"1.5", b"4000"])
+        self.kept("counter_order")
+
+    async def test_a_late_answer_is_dropped_and_the_next_still_fits(self):
+        async def slow(message):
+            await asyncio.sleep(0.1 if message[1] == b"11" else 0)
+            return b"$1\r\n" + message[1][-1:] + b"\r\n"
+        counter = await self.counter(slow)
+        counter.call(11, 1, 40_000)
+        await self.told(11)
+        await asyncio.sleep(0.03)
+        counter.call(12, 1, 40_000)
+        await self.told(12)
+        self.kept("counter_late")
+
+    async def test_silence_opens_the_connection_anew(self):
+        counter = await self.counter(lambda message: b"" if self.far.connections == 1 else b"$1\r\n7\r\n")
+        for name in (11, 12, 13):
+            counter.call(name, 1, 40_000)
+            await self.told(name)
+            await asyncio.sleep(0.06)
+        await self.until(lambda: self.far.connections == 2)
+        counter.call(14, 1, 40_000)
+        await self.told(14)
+        self.kept("counter_silent")
+
+    async def test_broken_and_not_there(self):
+        counter = await self.counter(lambda message: b"", ends=lambda message: True)
+        counter.call(11, 1, 40_000)
+        await self.told(11)                  # may have been added
+        self.far.server.close()
+        await asyncio.sleep(0.12)
+        for name in (12, 13):
+            counter.call(name, 1, 40_000)
+            await self.told(name)            # never written
+        await self.far.open(self.far.port)
+        self.far.ends = lambda message: False
+        self.far.reply = lambda message: b"$1\r\n4\r\n"
+        await asyncio.sleep(0.12)
+        counter.call(14, 1, 40_000)
+        await self.told(14)
+        self.kept("counter_broken")
+
+    async def test_nonsense_breaks_no_more_than_its_connection(self):
+        answers = iter((b"?\r\n", b"$1\r\nx\r\n", b"*1\r\n:1\r\n", b":5\r\n:6\r\n", b"$1\r\n7\r\n"))
+        counter = await self.counter(lambda message: next(answers))
+        for name in range(11, 16):
+            counter.call(name, 1, 40_000)
+            await self.told(name)
+            await asyncio.sleep(0.12)
+        self.kept("counter_nonsense")
+
+
+class Discovery(Sockets):
+    async def test_a_watch_goes_on_through_whatever_comes(self):
+        times = []
+
+        def listed(generation, reset, *entries):
+            return answer(200, "", b'{"generation":%d,"reset":%s,"instances":%s}' % (
+                generation, b"true" if reset else b"false", str(list(entries)).replace("'", '"').encode()))
+        answers = iter((
+            listed(41, True, entry("s-1", 1), entry("s-2", 2)), listed(43, False, entry("s-1", 1, "draining")),
+            listed(43, False), listed(44, False, entry("s-1", 1, "gone"), entry("s-3", 3)), answer(500), b"no\r\n\r\n",
+            answer(200, "", b"{}"), answer(200, "", b"[[["), listed(2, True, entry("s-9", 9)), asyncio.sleep(9)))
+
+        def reply(message):
+            times.append(asyncio.get_running_loop().time())
+            self.lines.append(f"asked {message[0].split()[1]}")
+            return next(answers)
+        far = await self.stand_in(reply)
+        config = self.config({"watch_pause": 0.03})
+
+        def report(told):
+            self.lines.append("nothing heard" if told.machines is None else ("whole: " if told.whole else "changes: ")
+                              + ", ".join(f"{m.worker} {m.phase.value}" for m in told.machines))
+        watch = Watch(f"{HOST}:{far.port}", config.machines, config.limits, report)
+        watch.start()
+        self.addAsyncCleanup(watch.close)
+        await self.until(lambda: len(far.messages) == 10)
+        self.assertLess(max(b - a for a, b in zip(times, times[1:])), 0.2)
+        self.kept("discovery")
+
+    async def test_a_silent_agent_is_asked_anew(self):
+        far = await self.stand_in(lambda message: asyncio.sleep(0.4))
+        config = self.config({"watch_grace": 0.05, "watch_pause": 0.02})
+        watch = Watch(f"{HOST}:{far.port}", config.machines, config.limits, self.events.append)
+        watch.start()
+        self.addAsyncCleanup(watch.close)
+        await self.until(lambda: far.connections >= 3)
+        self.assertEqual([told.machines for told in self.events], [None])
