--- a/fernyard/clients/server.py
+++ b/fernyard/clients/server.py
@@ -71,7 +71,11 @@
         idle = sorted((c for c in connections if c not in self.busy), key=lambda c: self.used.get(c, 0))
         for connection in idle[:len(connections) - most]:
             connection.force_close()
-        self.used = {c: at for c, at in self.used.items() if c in self.busy or c in connections}
+        self._forget_closed()
+
+    def _forget_closed(self):
+        connections = set(self.server.connections)
+        self.used = {c: at for c, at in self.used.items() if c in connections}
 
     async def close(self, patience):
         """Ends when all that was answered has been written, or after `patience` seconds."""
@@ -131,6 +135,8 @@
             self.waiting.pop(number, None)
             self.busy.discard(connection)
             self.used[connection] = number
+            if len(self.used) > 2 * self.limits.clients:
+                self._forget_closed()
 
     def _response(self, status, body=b"", headers=None, return_in=0):
         if return_in:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -106,6 +106,11 @@
             answer = await self.ask(node, request(), connection)
             self.lines.append(f"{name}: {answer[0] if answer else 'closed while it was idle'}")
         self.lines.append(f"open: {len(node.clients.server.connections)}")
+        for _ in range(9):
+            reader, writer = await self.connect(node.port)
+            await self.ask(node, request(), (reader, writer))
+            writer.close()
+        self.assertLessEqual(len(node.clients.used), 4)   # closed connections are forgotten
         self.kept("idle_first")
 
     async def test_calls_and_denial_on_the_counter(self):
