Headers of a req and of an answer go on, spelt as they came

Before, only id, key and content type went on: a compressed body lost its encoding, and whatever else clients and workers say to each other was dropped. All headers go on but those of one connection, the time left and the load report. The library's mapping respells some names (X-Correlation-Id became X-Correlation-ID), so the raw ones are passed on.

--- a/fernyard/clients/read.py
+++ b/fernyard/clients/read.py
@@ -7,6 +7,10 @@
 CUSTOMER = re.compile(r"[0-9A-Fa-f]{16}")
 MOST_CUSTOMER = 1 << 33
 ID, PLAN, LEFT, KEY, QUOTA = "X-Correlation-Id", "Plan", "X-Time-Left", "Idempotency-Key", "Quota-Info"
+# Of one connection or of ours alone: these go on neither way, all others do.
+OWN = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization",
+                 b"te", b"trailer", b"transfer-encoding", b"upgrade", b"host", b"content-length", b"expect",
+                 b"x-time-left", b"x-backend-load", b"x-unprocessed", b"date", b"server"))
 
 
 class Malformed(Exception):
@@ -54,6 +58,12 @@
         return frontend, plan, customer, max(1, int(min(left, self.longest) * 10_000)), units, doors
 
 
+def passed_on(raw_headers):
+    """What goes on, spelt as it came (the library's own mapping spells some names anew)."""
+    return [(name.decode(), value.decode()) for name, value in raw_headers
+            if name.isascii() and value.isascii() and name.lower() not in OWN]
+
+
 def _clean(value):
     return value and value.isascii() and value.isprintable()
 
--- a/fernyard/clients/server.py
+++ b/fernyard/clients/server.py
@@ -5,22 +5,21 @@
 from dataclasses import dataclass
 
 from aiohttp import web
+from multidict import CIMultiDict
 
-from .read import ID, KEY, Malformed, Reader
+from .read import Malformed, Reader, passed_on
 
 log = logging.getLogger(__name__)
 
 
 @dataclass(slots=True)
 class Taken:
-    """A req came in whole; `path`, `id`, `key` and `body` are as they came."""
+    """A req came in whole; `path`, `headers` and `body` go on as they came."""
 
     number: int
     method: str
     path: str
-    id: str
-    key: str | None
-    content: str | None
+    headers: list[tuple[str, str]]
     body: bytes
     frontend: int
     plan: int
@@ -120,8 +119,7 @@
             return self._response(getattr(why, "status", 400))
         self.number = number = self.number + 1
         waiting = self.waiting[number] = asyncio.get_running_loop().create_future()
-        self.report(Taken(number, request.method, path, headers[ID], headers.get(KEY),
-                          headers.get("Content-Type"), body, *told))
+        self.report(Taken(number, request.method, path, passed_on(request.raw_headers), body, *told))
         connection = request.protocol
         self.busy.add(connection)
         if len(self.server.connections) > self.limits.clients:
@@ -138,10 +136,11 @@
             if len(self.used) > 2 * self.limits.clients:
                 self._forget_closed()
 
-    def _response(self, status, body=b"", headers=None, return_in=0):
+    def _response(self, status, body=b"", headers=(), return_in=0):
+        told = CIMultiDict(passed_on(headers)) if headers else None
         if return_in:
-            headers = {"Retry-After": f"{return_in / 10_000:.4f}"}
-        response = web.Response(status=status, body=body, headers=headers)
+            told = {"Retry-After": f"{return_in / 10_000:.4f}"}
+        response = web.Response(status=status, body=body, headers=told)
         if self.stopping:
             response.force_close()
         return response
--- a/fernyard/node/effects.py
+++ b/fernyard/node/effects.py
@@ -12,7 +12,7 @@
     number: int
     status: int
     body: bytes = b""
-    headers: dict | None = None
+    headers: tuple[tuple[bytes, bytes], ...] = ()
     return_in: int = 0
 
 
--- a/fernyard/node/reducer.py
+++ b/fernyard/node/reducer.py
@@ -179,7 +179,7 @@
         self.counts.add("dispatches")
         self.effects.append(Send(order.req, dispatch, order.worker, address, held.req, order.limit))
 
-    def _answer(self, number, status, body=b"", headers=None, return_in=0):
+    def _answer(self, number, status, body=b"", headers=(), return_in=0):
         held = self.held.get(number)
         if held is not None and not held.answered:
             self.counts.add("answered", status)
--- a/fernyard/workers/pool.py
+++ b/fernyard/workers/pool.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass
 
 import aiohttp
+from multidict import CIMultiDict
 from yarl import URL
 
 from ..interface import End
 
 log = logging.getLogger(__name__)
-ABOUT_BODY = ("Content-Type", "Content-Encoding")   # goes on to the client with the body
 
 
 @dataclass(slots=True)
@@ -24,7 +24,7 @@
     end: End
     took: int
     body: bytes = b""
-    headers: dict | None = None
+    headers: tuple[tuple[bytes, bytes], ...] = ()   # as they came
 
 
 class Broken(aiohttp.ClientError):
@@ -92,7 +92,7 @@
     def _late(self, number, dispatch):
         self.give_up(number, dispatch, End.TIMEOUT)
 
-    def _over(self, number, dispatch, end, body=b"", headers=None):
+    def _over(self, number, dispatch, end, body=b"", headers=()):
         """The one place where a dispatch ends: the first to tell of it counts."""
         out = self.out.pop((number, dispatch), None)
         if out is None:
@@ -104,11 +104,8 @@
         return task
 
     async def _dispatch(self, number, dispatch, address, req, limit):
-        headers = {"X-Correlation-Id": req.id, "X-Time-Left": f"{limit / 10_000:.4f}"}
-        if req.key is not None:
-            headers["Idempotency-Key"] = req.key
-        if req.content is not None:
-            headers["Content-Type"] = req.content
+        headers = CIMultiDict(req.headers)
+        headers["X-Time-Left"] = f"{limit / 10_000:.4f}"
         if self.open >= self.limits.workers:
             headers["Connection"] = "close"
         try:
@@ -125,8 +122,7 @@
                     end = End.FULL
                 else:
                     end = End.ERROR
-                about = {name: answer.headers[name] for name in ABOUT_BODY if name in answer.headers}
-                self._over(number, dispatch, end, body or b"", about)
+                self._over(number, dispatch, end, body or b"", answer.raw_headers)
         except NeverUp:
             self._over(number, dispatch, End.NO_CONNECTION)
         except aiohttp.ClientError:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -27,7 +27,8 @@
         node = await self.gatekeeper(worker)
         body = bytes(range(256))
         for data in (request(f"/look%20up/a%2Fb//../{CUSTOMER}?q=%7e+%C3%A9&&x"),
-                     request(f"/keep/{CUSTOMER}?", "POST", body, Idempotency_Key="K-1/=?", Content_Type="x/y"),
+                     request(f"/keep/{CUSTOMER}?", "POST", body, Idempotency_Key="K-1/=?", Content_Type="x/y",
+                             Authorization="us", Connection="keep-alive"),
                      request(f"/keep/{CUSTOMER}", "POST", Idempotency_Key="K-2")):
             status, headers, answer = await self.ask(node, data)
             start, told, came = worker.messages[-1]
@@ -238,7 +239,7 @@
             self.lines.append(f"       -> {type(effect).__name__} {fields}".rstrip())
 
     def taken(self, number):
-        return Taken(number, "GET", f"/look%20up/{CUSTOMER}", "id", None, None, b"", 0, 1, 5, 4000, 1.0, 1)
+        return Taken(number, "GET", f"/look%20up/{CUSTOMER}", [], b"", 0, 1, 5, 4000, 1.0, 1)
 
     def test_a_fault_in_one_req_aborts_that_req_alone(self):
         for at in ("Arrived", "Ended", "Left"):
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -27,7 +27,7 @@
     async def dispatch(self, pool, port, method="GET", limit=5000):
         number = len(self.events) + 1
         body = b"" if method == "GET" else b"body"
-        req = Taken(number, method, f"/look%20up/{CUSTOMER}", f"id{number}", None, None, body, 0, 0, 5, 9, 1, 1)
+        req = Taken(number, method, f"/look%20up/{CUSTOMER}", [], body, 0, 0, 5, 9, 1, 1)
         pool.send(number, 0, "s-1", f"{HOST}:{port}", req, limit)
         await self.until(lambda: len(self.events) == number)
         return self.events[-1].end
@@ -79,7 +79,7 @@
         self.assertIs(await self.dispatch(pool, worker.port, limit=300), i.End.TIMEOUT)
         self.assertLess(abs(self.events[0].took - 300), 200)
         await self.until(lambda: worker.server.sockets and pool.open == 0)
-        pool.send(9, 0, "s-1", f"{HOST}:{worker.port}", Taken(9, "GET", "/", "id", None, None, b"", 0, 0, 5, 9, 1, 1),
+        pool.send(9, 0, "s-1", f"{HOST}:{worker.port}", Taken(9, "GET", "/", [], b"", 0, 0, 5, 9, 1, 1),
                   9000)
         await self.until(lambda: len(worker.messages) == 2)
         pool.give_up(9, 0)
