--- a/fernyard/clients/server.py
+++ b/fernyard/clients/server.py
@@ -88,6 +88,8 @@
         await self.server.shutdown(0)
 
     def _request(self, message, payload, protocol, writer, task):
+        if message.method == "UNKNOWN":    # what the library makes of bytes that are no message
+            self.counts.add("malformed", "message")
         return web.BaseRequest(message, payload, protocol, writer, task, self.server._loop,
                                client_max_size=self.limits.body)
 
--- a/fernyard/counter/links.py
+++ b/fernyard/counter/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 from collections import deque
 from dataclasses import dataclass
 
@@ -135,7 +136,10 @@
     def _read(answer):
         if isinstance(answer, hiredis.ReplyError):
             return (End.FULL if str(answer).startswith("BUSY") else End.UNSENT,)
-        return End.PASSED, float(answer)
+        total = float(answer)
+        if not math.isfinite(total):
+            raise ValueError(answer)
+        return End.PASSED, total
 
     def connection_lost(self, why):
         self.transport = None
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -62,6 +62,7 @@
             answer = await self.ask(node, data)
             self.lines.append(f"{words}: {answer[0]}")
         self.lines.append(f"reached a worker: {len(worker.messages)}, taken: {node.counts.by_kind.get('taken', 0)}")
+        self.lines += [f"{kind} {n}" for kind, n in sorted(node.counts.by_kind.items()) if "malformed" in kind]
         self.kept("malformed")
 
     async def test_a_long_body_may_ask_before_it_comes(self):
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -173,9 +173,10 @@
         self.kept("counter_broken")
 
     async def test_nonsense_breaks_no_more_than_its_connection(self):
-        answers = iter((b"?\r\n", b"$1\r\nx\r\n", b"*1\r\n:1\r\n", b":5\r\n:6\r\n", b"$1\r\n7\r\n"))
+        answers = iter((b"?\r\n", b"$1\r\nx\r\n", b"*1\r\n:1\r\n", b":5\r\n:6\r\n", b"$3\r\nnan\r\n",
+                        b"$1\r\n7\r\n"))
         counter = await self.counter(lambda message: next(answers))
-        for name in range(11, 16):
+        for name in range(11, 17):
             counter.call(name, 1, 40_000)
             await self.told(name)
             await asyncio.sleep(0.12)
