--- a/fernyard/clients/server.py
+++ b/fernyard/clients/server.py
@@ -82,13 +82,14 @@
         self.used = {c: at for c, at in self.used.items() if c in connections}
 
     async def close(self, patience):
-        """Ends when all that was answered has been written, or after `patience` seconds."""
+        """Ends when all that is in hand was answered and written; connections that stay open without a req are
+        closed after `patience` seconds."""
         if self.listener is None:
             return
         self.listener.close()
         self.close_idle()
         until = asyncio.get_running_loop().time() + patience
-        while self.server.connections and asyncio.get_running_loop().time() < until:
+        while self.server.connections and (self.busy or asyncio.get_running_loop().time() < until):
             await asyncio.sleep(0.01)
         await self.server.shutdown(0)
 
--- a/fernyard/interface.py
+++ b/fernyard/interface.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+Id = int | str
+
 
 class Repeat(Enum):
     """May a req of a frontend run again?"""
@@ -100,7 +102,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Machine:
-    worker: int
+    worker: Id
     started: int
     cell: int
     zone: int
@@ -130,7 +132,7 @@
 
     req: int
     dispatch: int
-    worker: int
+    worker: Id
     closed: bool
     end: End
     took: int
@@ -168,7 +170,7 @@
 
 @dataclass(slots=True)
 class Probed:
-    worker: int
+    worker: Id
     end: End
     took: int
     load: tuple[float, ...] = ()
@@ -186,7 +188,7 @@
 @dataclass(slots=True)
 class Dispatch:
     req: int
-    worker: int
+    worker: Id
     limit: int
 
 
@@ -225,7 +227,7 @@
 
 @dataclass(slots=True)
 class Probe:
-    worker: int
+    worker: Id
 
 
 @dataclass(slots=True)
@@ -248,7 +250,7 @@
 
 @dataclass(slots=True)
 class HangUp:
-    worker: int
+    worker: Id
 
 
 @dataclass(slots=True)
--- a/fernyard/settings/config.py
+++ b/fernyard/settings/config.py
@@ -6,7 +6,7 @@
 
 from .. import interface as i
 from .limits import Limits
-from .machines import Machines
+from .machines import Machines, address
 from .read import BadSettings, read_settings
 
 
@@ -58,13 +58,6 @@
         raise BadSettings(f"the configuration cannot be read: {type(why).__name__}: {why}") from None
 
 
-def address(text):
-    host, _, port = text.rpartition(":")
-    if not host or not 0 < int(port) < 65536:
-        raise ValueError(f"{text!r} is no address")
-    return host, int(port)
-
-
 def config_path(environ=os.environ):
     if not environ.get("EDGE_CONFIG"):
         raise BadSettings("EDGE_CONFIG names no configuration file")
--- a/fernyard/settings/machines.py
+++ b/fernyard/settings/machines.py
@@ -26,7 +26,7 @@
                 machines.append(i.Machine(worker, int(started * 10), entry.get("cell", 0),
                                           self.zones.get(entry.get("zone"), -1), phase))
                 if phase is not i.Phase.GONE:
-                    addresses[worker] = _text(entry["hostPort"])
+                    addresses[worker] = "%s:%d" % address(_text(entry["hostPort"]))
             return int(told["generation"]), bool(told.get("reset")), tuple(machines), addresses
         except (KeyError, TypeError, AttributeError) as why:
             raise ValueError(f"{type(why).__name__}: {why}") from None
@@ -36,3 +36,10 @@
     if not isinstance(value, str) or not value:
         raise ValueError(f"{value!r} is no text")
     return value
+
+
+def address(text):
+    host, _, port = text.rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is no address")
+    return host, int(port)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,6 +14,7 @@
 from fernyard.counter import Total
 from fernyard.discovery import Told
 from fernyard.log import Counts
+from fernyard.node import Node
 from fernyard.node.clock import Clock
 from fernyard.node.reducer import Fault, Reducer, Stop, Tick
 from fernyard.workers import Outcome
@@ -294,6 +295,13 @@
             self.lines.append(f"the machine says {unix} after {steady}: {clock() / 10_000:g}")
         self.kept("clock")
 
+    def test_changes_of_the_list_go_before_all_else_pending(self):
+        node = Node(read_config(configuration()))
+        node.draining = True       # another event is being dealt with
+        for event in (Tick(), Gone(1), Told()):
+            node.post(event)
+        self.assertEqual([type(event) for event in node.events], [Told, Tick, Gone])
+
     def test_a_whole_list_replaces_and_changes_add(self):
         made = self.reducer()
         machine = i.Machine("s-2", 0, 1, 0, i.Phase.READY)
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -193,6 +193,7 @@
         answers = iter((
             listed(41, True, entry("s-1", 1), entry("s-2", 2)), listed(43, False, entry("s-1", 1, "draining")),
             listed(43, False), listed(44, False, entry("s-1", 1, "gone"), entry("s-3", 3)), answer(500), b"no\r\n\r\n",
+            listed(45, False, entry("s-3", "x")),
             answer(200, "", b"{}"), answer(200, "", b"[[["), listed(2, True, entry("s-9", 9)), asyncio.sleep(9)))
 
         def reply(message):
@@ -208,7 +209,7 @@
         watch = Watch(f"{HOST}:{far.port}", config.machines, config.limits, report)
         watch.start()
         self.addAsyncCleanup(watch.close)
-        await self.until(lambda: len(far.messages) == 10)
+        await self.until(lambda: len(far.messages) == 11)
         self.assertLess(max(b - a for a, b in zip(times, times[1:])), 0.2)
         self.kept("discovery")
 
