--- a/fernyard/clients/read.py
+++ b/fernyard/clients/read.py
@@ -32,7 +32,8 @@
         if not path.startswith("/") or not path.isascii() or "#" in path:
             raise Malformed(400, "path")
         parts = path.partition("?")[0].split("/")
-        frontend = self.frontends.get(unquote(parts[1]))
+        name = parts[1]
+        frontend = self.frontends.get(unquote(name) if "%" in name else name)
         if frontend is None or len(parts) < 3:
             raise Malformed(404, "frontend")
         if not CUSTOMER.fullmatch(parts[-1]) or (customer := int(parts[-1], 16)) >= MOST_CUSTOMER:
--- a/fernyard/clients/server.py
+++ b/fernyard/clients/server.py
@@ -130,7 +130,7 @@
         self.report(Taken(number, request.method, path, passed_on(request.raw_headers), body, *told))
         connection = request.protocol
         self.busy.add(connection)
-        if len(self.server.connections) > self.limits.clients:
+        if connection not in self.used and len(self.server.connections) > self.limits.clients:
             self.close_idle(self.limits.clients)
         try:
             return self._response(*await waiting)
