--- a/fernyard/__main__.py
+++ b/fernyard/__main__.py
@@ -38,11 +38,11 @@
             raise BadSettings(f"--log {told['--log']} is no level")
         config = load_config(told["CONFIG"] or config_path())
         if told["check"]:
-            print(f"{config.name} on {config.listen[0]}:{config.listen[1]}: {len(config.frontends)} frontends, "
+            print("%s on %s:%d:" % (config.name, *config.listen), f"{len(config.frontends)} frontends,",
                   f"{len(config.plans)} plans, {len(config.known['instances'])} workers known")
             return 0
         set_up(level)
-        # No TLS is spoken. Else the client library would read all certificates of the machine, twice, at start.
+        # No TLS is spoken. Else the client library would read the machine's certificates, twice, at start.
         os.environ.update(SSL_CERT_FILE=os.devnull, SSL_CERT_DIR=os.devnull)
         from .node import Node
         asyncio.run(Node(config).run())
--- a/fernyard/clients/read.py
+++ b/fernyard/clients/read.py
@@ -8,9 +8,10 @@
 MOST_CUSTOMER = 1 << 33
 ID, PLAN, LEFT, KEY, QUOTA = "X-Correlation-Id", "Plan", "X-Time-Left", "Idempotency-Key", "Quota-Info"
 # Of one connection or of ours alone: these go on neither way, all others do.
-OWN = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization",
-                 b"te", b"trailer", b"transfer-encoding", b"upgrade", b"host", b"content-length", b"expect",
-                 b"x-time-left", b"x-backend-load", b"x-unprocessed", b"date", b"server"))
+OWN = frozenset((
+    b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
+    b"trailer", b"transfer-encoding", b"upgrade", b"host", b"content-length", b"expect", b"x-time-left",
+    b"x-backend-load", b"x-unprocessed", b"date", b"server"))
 
 
 class Malformed(Exception):
--- a/fernyard/clients/server.py
+++ b/fernyard/clients/server.py
@@ -82,8 +82,8 @@
         self.used = {c: at for c, at in self.used.items() if c in connections}
 
     async def close(self, patience):
-        """Ends when all that is in hand was answered and written; connections that stay open without a req are
-        closed after `patience` seconds."""
+        """Ends when all that is in hand was answered and written; connections that stay open without a req
+        are closed after `patience` seconds."""
         if self.listener is None:
             return
         self.listener.close()
--- a/fernyard/counter/links.py
+++ b/fernyard/counter/links.py
@@ -55,7 +55,8 @@
 
     def __init__(self, name, amount, keep):
         self.name = name
-        self.bytes = hiredis.pack_command(("CNT.ADD", str(name), repr(float(amount)), str(max(1, keep // 10))))
+        life = max(1, keep // 10)
+        self.bytes = hiredis.pack_command(("CNT.ADD", str(name), repr(float(amount)), str(life)))
 
 
 class Link(asyncio.Protocol):
--- a/fernyard/discovery/watch.py
+++ b/fernyard/discovery/watch.py
@@ -23,7 +23,8 @@
 
 class Watch:
     def __init__(self, address, machines, limits, report):
-        self.url, self.machines, self.limits, self.report = f"http://{address}/v1/servers", machines, limits, report
+        self.url = f"http://{address}/v1/servers"
+        self.machines, self.limits, self.report = machines, limits, report
         self.task = self.session = None
 
     def start(self):
@@ -42,7 +43,8 @@
                 if told.whole or told.machines:
                     self.report(told)
                 elif asyncio.get_running_loop().time() - asked < self.limits.watch_pause:
-                    await asyncio.sleep(self.limits.watch_pause)   # one that does not wait is not asked in a spin
+                    # One that does not wait is not asked in a spin.
+                    await asyncio.sleep(self.limits.watch_pause)
             except Exception as why:    # whatever came, the watch goes on
                 if not failed:
                     log.warning("discovery_unheard why=%s", type(why).__name__)
--- a/fernyard/node/reducer.py
+++ b/fernyard/node/reducer.py
@@ -58,7 +58,8 @@
         """The first happenings: the settings, and the list as it was had last."""
         self.now = now
         _, _, machines, self.addresses = self.config.machines.read(self.config.known)
-        for happening in i.Launched(self.config.settings, self.config.seed), i.Roster(i.News.CACHED, machines):
+        launched = i.Launched(self.config.settings, self.config.seed)
+        for happening in launched, i.Roster(i.News.CACHED, machines):
             self._carry_out(self.gatekeeper.step(now, happening))
         return self._asked()
 
@@ -77,8 +78,8 @@
         return self._asked()
 
     def next_timer(self):
-        """When the first timer is due. Those of reqs that are forgotten wake nobody: they are told at the next
-        ring. Most timers are such, and waking up is what costs this process most."""
+        """When the first timer is due. Those of reqs that are forgotten wake nobody: they are told at the
+        next ring. Most timers are such, and waking up is what costs this process most."""
         while self.timers and self.timers[0][2] is not None and self.timers[0][2] not in self.held:
             self.overtaken.append(heappop(self.timers)[1])
         return self.timers[0][0] if self.timers else None
@@ -93,8 +94,8 @@
         self.held[req.number] = Held(req)
         self.owed += 1
         self.counts.add("taken")
-        self._decide(i.Arrived(req.number, req.frontend, req.plan, req.customer, req.left, req.units, req.doors),
-                     req.number)
+        arrived = i.Arrived(req.number, req.frontend, req.plan, req.customer, req.left, req.units, req.doors)
+        self._decide(arrived, req.number)
 
     def _gone(self, event):
         held = self.held.get(event.number)
@@ -112,8 +113,8 @@
         if event.end is i.End.PASSED:
             self._answer(event.number, PASSED, event.body, event.headers)
         self._closed(event.number, held, held.answered)
-        self._decide(i.Ended(event.number, event.dispatch, event.worker, held.answered, event.end, event.took),
-                     event.number)
+        ended = i.Ended(event.number, event.dispatch, event.worker, held.answered, event.end, event.took)
+        self._decide(ended, event.number)
 
     def _total(self, event):
         self.counts.add("called", event.end.value)
--- a/fernyard/settings/__init__.py
+++ b/fernyard/settings/__init__.py
@@ -5,4 +5,5 @@
 from .machines import Machines
 from .read import BadSettings, read_settings, tenths
 
-__all__ = ["BadSettings", "Config", "Limits", "Machines", "load_config", "read_config", "read_settings", "tenths"]
+__all__ = ["BadSettings", "Config", "Limits", "Machines", "load_config", "read_config", "read_settings",
+           "tenths"]
--- a/fernyard/settings/config.py
+++ b/fernyard/settings/config.py
@@ -45,7 +45,8 @@
         if settings.may_count and not told.get("counter"):
             raise ValueError("a counter may be called and none is named")
         return Config(
-            name=str(told["name"]), listen=address(told["listen"]), discovery="%s:%d" % address(told["discovery"]),
+            name=str(told["name"]), listen=address(told["listen"]),
+            discovery="%s:%d" % address(told["discovery"]),
             counter=address(told["counter"]) if told.get("counter") else None, seed=int(told["seed"], 16),
             settings=settings,
             frontends={c["name"]: at for at, c in enumerate(wire["classes"])},
--- a/fernyard/settings/limits.py
+++ b/fernyard/settings/limits.py
@@ -33,8 +33,8 @@
         allowed, extra = settings.get("allowed", {}), settings.get("extra", {})
         sockets = min(1024, int(told.get("sockets", 1024)))
         return cls(
-            body=64 * 1024, clients=sockets // 2, workers=sockets // 4, counters=min(4, max(1, sockets // 64)),
-            backlog=512, client_idle=120.0,
+            body=64 * 1024, clients=sockets // 2, workers=sockets // 4,
+            counters=min(4, max(1, sockets // 64)), backlog=512, client_idle=120.0,
             worker_idle=min(60.0, 0.45 * allowed.get("connIdleMs", 15_000) / 1000),
             connect=allowed.get("connectTimeoutMs", 250) / 1000,
             count=extra.get("counterTimeoutMs", 50) / 1000,
--- a/fernyard/settings/machines.py
+++ b/fernyard/settings/machines.py
@@ -8,7 +8,7 @@
 
 
 class Machines:
-    """Reads lists of workers by the zone names of the settings. Raises ValueError for what is no such list."""
+    """Reads lists of workers by the zone names of the settings. ValueError: it is no such list."""
 
     def __init__(self, zones):
         self.zones = {name: number for number, name in enumerate(zones)}
--- a/fernyard/settings/read.py
+++ b/fernyard/settings/read.py
@@ -38,7 +38,8 @@
             count_timeout=tenths(extra.get("counterTimeoutMs", 0)),
             settles=extra.get("postPaid", False),
             longest_return=tenths(allowed.get("maxRetryAfterMs", 0)) if allowed.get("retryAfter") else 0,
-            cold_share=rules["coldShare"], fall_multiple=rules["fallMultiple"], warm_up=tenths(rules["warmUpMs"]),
+            cold_share=rules["coldShare"], fall_multiple=rules["fallMultiple"],
+            warm_up=tenths(rules["warmUpMs"]),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as why:
         raise BadSettings(f"the settings cannot be read: {type(why).__name__}: {why}") from None
--- a/fernyard/workers/pool.py
+++ b/fernyard/workers/pool.py
@@ -1,4 +1,4 @@
-"""Dispatches on aiohttp's client: no redirects, no cookies, nothing decoded and nothing sent a second time."""
+"""Dispatches on aiohttp's client: no redirects, no cookies, nothing decoded, nothing sent a second time."""
 
 import asyncio
 import logging
@@ -63,8 +63,9 @@
         self.session = None
 
     def start(self):
-        connector = aiohttp.TCPConnector(limit=0, socket_factory=self._socket, keepalive_timeout=self.limits.worker_idle, ssl=False,
-                                         family=socket.AF_INET, happy_eyeballs_delay=None)
+        connector = aiohttp.TCPConnector(
+            limit=0, socket_factory=self._socket, keepalive_timeout=self.limits.worker_idle, ssl=False,
+            family=socket.AF_INET, happy_eyeballs_delay=None)
         self.session = aiohttp.ClientSession(
             connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=self.limits.connect), middlewares=(_once,),
@@ -76,7 +77,7 @@
         return made
 
     def send(self, number, dispatch, worker, address, req, limit):
-        """Writes `req` to the worker at `address` and reports one Outcome, at `limit` tenths at the latest."""
+        """Writes `req` to the worker at `address` and reports one Outcome, after `limit` at the latest."""
         loop = asyncio.get_running_loop()
         began = loop.time()
         task = loop.create_task(self._dispatch(number, dispatch, address, req, limit))
@@ -111,8 +112,7 @@
         try:
             async with self.session.request(
                     req.method, URL.build(scheme="http", authority=address, path=req.path, encoded=True),
-                    headers=headers,
-                    data=req.body or None, allow_redirects=False) as answer:
+                    headers=headers, data=req.body or None, allow_redirects=False) as answer:
                 body = await self._body(answer)
                 if body is None:
                     end = End.ERROR
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -1,5 +1,5 @@
-"""Plays happenings to one gatekeeper, or bytes to one on sockets among stand-ins of what surrounds it, and prints
-what it does; compares that with a trace kept in tests/traces.
+"""Plays happenings to one gatekeeper, or bytes to one on sockets among stand-ins of what surrounds it, and
+prints what it does; compares that with a trace kept in tests/traces.
 
 With KEEP_TRACES set the traces are written instead: read the difference before you commit it.
 """
@@ -79,7 +79,8 @@
             self.sent[order.req] = self.sent.get(order.req, -1) + 1
             words = f"dispatch req {order.req} to worker {order.worker}"
         elif isinstance(order, i.Deny):
-            words = f"deny req {order.req}" + (f", return in {order.return_in / MS:g} ms" * bool(order.return_in))
+            words = f"deny req {order.req}"
+            words += f", return in {order.return_in / MS:g} ms" * bool(order.return_in)
         elif isinstance(order, i.Abort):
             words = f"abort req {order.req}"
         else:
@@ -141,14 +142,15 @@
 
 
 def entry(worker, port, lifecycle="ready"):
-    return {"instanceId": worker, "hostPort": f"{HOST}:{port}", "zone": "here", "cell": 1, "lifecycle": lifecycle,
-            "startedAtMs": 0}
+    return {"instanceId": worker, "hostPort": f"{HOST}:{port}", "zone": "here", "cell": 1,
+            "lifecycle": lifecycle, "startedAtMs": 0}
 
 
 def configuration(listen=0, workers=(), discovery=1, counter=1, **other):
     return {"name": "n1", "listen": f"{HOST}:{listen or 1}", "discovery": f"{HOST}:{discovery}", "seed": "7",
             "limits": {"memory_mb": 192, "sockets": 1024}, "counter": f"{HOST}:{counter}",
-            "known": {"generation": 1, "reset": True, "instances": list(workers)}, "settings": SETTINGS, **other}
+            "known": {"generation": 1, "reset": True, "instances": list(workers)},
+            "settings": SETTINGS, **other}
 
 
 def request(path=f"/look%20up/{CUSTOMER}", method="GET", body=b"", **headers):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -62,7 +62,8 @@
                 ("body too long", request(f"/keep/{CUSTOMER}", "POST", b"x" * 70_000, Idempotency_Key="K"))):
             answer = await self.ask(node, data)
             self.lines.append(f"{words}: {answer[0]}")
-        self.lines.append(f"reached a worker: {len(worker.messages)}, taken: {node.counts.read().get('taken', 0)}")
+        taken = node.counts.read().get("taken", 0)
+        self.lines.append(f"reached a worker: {len(worker.messages)}, taken: {taken}")
         self.lines += [f"{kind} {n}" for kind, n in sorted(node.counts.read().items()) if "malformed" in kind]
         self.kept("malformed")
 
@@ -148,8 +149,9 @@
             file.write(told if isinstance(told, str) else json.dumps(told))
         self.addCleanup(os.unlink, file.name)
         return await asyncio.create_subprocess_exec(
-            sys.executable, "-B", "-m", "fernyard", *(arguments or ("serve",)), stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.PIPE, env={**os.environ, "EDGE_CONFIG": file.name})
+            sys.executable, "-B", "-m", "fernyard", *(arguments or ("serve",)),
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "EDGE_CONFIG": file.name})
 
     async def test_a_planned_end_answers_all_that_was_taken(self):
         async def slow(message):
@@ -189,7 +191,8 @@
         told = configuration(settings={})
         for words, bad in (("not JSON", "{"), ("nothing", "{}"), ("no settings", told),
                            ("no address", configuration(listen="x")),
-                           ("an old list that is none", configuration(known={"generation": 1, "instances": [{}]})),
+                           ("an old list that is none",
+                            configuration(known={"generation": 1, "instances": [{}]})),
                            ("no counter", configuration(counter=None) | {"counter": None})):
             for command in ("serve", "check"):
                 program = await self.start(bad, command)
@@ -236,8 +239,8 @@
         number = getattr(event, "number", "")
         self.lines.append(f"{now} {type(event).__name__} {number}")
         for effect in self.made.reduce(now, event):
-            fields = " ".join(str(getattr(effect, name)) for name in ("number", "status", "dispatch", "worker")
-                              if hasattr(effect, name))
+            names = ("number", "status", "dispatch", "worker")
+            fields = " ".join(str(getattr(effect, name)) for name in names if hasattr(effect, name))
             self.lines.append(f"       -> {type(effect).__name__} {fields}".rstrip())
 
     def taken(self, number):
@@ -256,17 +259,17 @@
 
     def test_one_answer_whatever_comes_after(self):
         self.reducer(Broken(None))
-        for event in (self.taken(1), Outcome(1, 0, "s-1", i.End.PASSED, 5), Outcome(1, 0, "s-1", i.End.PASSED, 5),
-                      Gone(1), self.taken(2), Gone(2), Outcome(2, 0, "s-1", i.End.PASSED, 5), self.taken(3),
-                      Fault(3), Outcome(3, 0, "s-1", i.End.PASSED, 5), Gone(7), Total(1, i.End.PASSED, 1.0, 3)):
+        one, two, three = (Outcome(number, 0, "s-1", i.End.PASSED, 5) for number in (1, 2, 3))
+        for event in (self.taken(1), one, one, Gone(1), self.taken(2), Gone(2), two, self.taken(3), Fault(3),
+                      three, Gone(7), Total(1, i.End.PASSED, 1.0, 3)):
             self.tell(event)
         self.assertEqual((self.made.owed, self.made.held), (0, {}))
         self.kept("one_answer")
 
     def test_the_end_waits_for_what_is_owed(self):
         self.reducer(Broken(None))
-        for now, event in ((2000, self.taken(1)), (2100, Stop()), (2200, Stop()), (7099, Tick()), (7100, Tick()),
-                           (8000, Outcome(1, 0, "s-1", i.End.PASSED, 5))):
+        for now, event in ((2000, self.taken(1)), (2100, Stop()), (2200, Stop()), (7099, Tick()),
+                           (7100, Tick()), (8000, Outcome(1, 0, "s-1", i.End.PASSED, 5))):
             self.tell(event, now)
         self.kept("the_end")
 
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -51,7 +51,8 @@
     def test_reused_list_number_and_restart_in_one_batch(self):
         down = struct.pack(">HI", 1090, 3)
         code, reply, errors = play(frame(
-            launch(), pool(0, 11), endpoints(0), arrival(1), down, launch(), pool(0, 12), endpoints(0), arrival(2)))
+            launch(), pool(0, 11), endpoints(0), arrival(1), down,
+            launch(), pool(0, 12), endpoints(0), arrival(2)))
         self.assertEqual((code, errors), (0, ""))
         workers = [struct.unpack_from(">II", reply, at + 6)[0:1] + struct.unpack_from(">I", reply, at + 18)
                    for at in range(12, len(reply)) if reply[at:at + 6] == struct.pack(">HI", 1000, 3)]
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -43,7 +43,7 @@
                  ("part of a body, then the end", PASSED[:-2], True))
         pool = await self.pool()
         for words, data, ends in cases:
-            worker = await self.stand_in(lambda message, data=data: data, ends=lambda message, ends=ends: ends)
+            worker = await self.stand_in(lambda _, data=data: data, ends=lambda _, ends=ends: ends)
             end = await self.dispatch(pool, worker.port, "POST")
             self.lines.append(f"{words}: {end.value}; sent {len(worker.messages)} time")
         self.kept("dispatch_ends")
@@ -191,10 +191,12 @@
             return answer(200, "", b'{"generation":%d,"reset":%s,"instances":%s}' % (
                 generation, b"true" if reset else b"false", str(list(entries)).replace("'", '"').encode()))
         answers = iter((
-            listed(41, True, entry("s-1", 1), entry("s-2", 2)), listed(43, False, entry("s-1", 1, "draining")),
-            listed(43, False), listed(44, False, entry("s-1", 1, "gone"), entry("s-3", 3)), answer(500), b"no\r\n\r\n",
+            listed(41, True, entry("s-1", 1), entry("s-2", 2)),
+            listed(43, False, entry("s-1", 1, "draining")), listed(43, False),
+            listed(44, False, entry("s-1", 1, "gone"), entry("s-3", 3)), answer(500), b"no\r\n\r\n",
             listed(45, False, entry("s-3", "x")),
-            answer(200, "", b"{}"), answer(200, "", b"[[["), listed(2, True, entry("s-9", 9)), asyncio.sleep(9)))
+            answer(200, "", b"{}"), answer(200, "", b"[[["), listed(2, True, entry("s-9", 9)),
+            asyncio.sleep(9)))
 
         def reply(message):
             times.append(asyncio.get_running_loop().time())
@@ -204,8 +206,9 @@
         config = self.config({"watch_pause": 0.03})
 
         def report(told):
-            self.lines.append("nothing heard" if told.machines is None else ("whole: " if told.whole else "changes: ")
-                              + ", ".join(f"{m.worker} {m.phase.value}" for m in told.machines))
+            kind = "whole: " if told.whole else "changes: "
+            self.lines.append("nothing heard" if told.machines is None else kind + ", ".join(
+                f"{m.worker} {m.phase.value}" for m in told.machines))
         watch = Watch(f"{HOST}:{far.port}", config.machines, config.limits, report)
         watch.start()
         self.addAsyncCleanup(watch.close)
