--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -24,6 +24,7 @@
 
 class Serving(Sockets):
     async def test_what_goes_on_unchanged_is_kept_as_the_bytes_that_came(self):
+        # The client library drops a bare "?" and respells names such as X-Correlation-Id.
         worker = await self.stand_in(lambda message: PASSED)
         node = await self.gatekeeper(worker)
         body = bytes(range(256))
@@ -78,6 +79,7 @@
         self.assertEqual((await self.ask(node, b"body", (reader, writer)))[0], 200)
 
     async def test_a_client_gone_is_told_and_its_dispatch_ends_by_itself(self):
+        # Such a req was held for ever once its dispatch passed.
         free = asyncio.Event()
 
         async def later(message):
@@ -103,6 +105,7 @@
         self.assertLess(asyncio.get_running_loop().time() - began, 1.0)
 
     async def test_idle_client_connections_go_first(self):
+        # Clients keep their connections: those unused would hold all descriptors.
         worker = await self.stand_in(lambda message: PASSED)
         node = await self.gatekeeper(worker, limits={"clients": 2})
         first, second, third = [await self.connect(node.port) for _ in range(3)]
@@ -274,6 +277,7 @@
         self.kept("the_end")
 
     def test_the_timers_of_a_forgotten_req_wake_nobody(self):
+        # A third of all wake-ups were for them. The decisions must be told each all the same.
         made = self.reducer(Broken(None))
         for number, after in ((1, 50), (2, 60)):
             self.tell(self.taken(number))
@@ -299,6 +303,7 @@
         self.kept("clock")
 
     def test_changes_of_the_list_go_before_all_else_pending(self):
+        # A drain that waits behind reqs lets them go to a worker that wants nothing new.
         node = Node(read_config(configuration()))
         node.draining = True       # another event is being dealt with
         for event in (Tick(), Gone(1), Told()):
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -96,6 +96,7 @@
         self.kept("worker_idle")
 
     async def test_past_its_descriptors_no_connection_is_kept(self):
+        # Idle connections to many workers could hold all descriptors and leave none for clients.
         worker = await self.stand_in(lambda message: answer(200, "Connection: close\r\n" * (
             message[1].get("Connection") == "close")))
         pool = await self.pool(workers=0)
@@ -133,6 +134,7 @@
         self.kept("counter_order")
 
     async def test_a_late_answer_is_dropped_and_the_next_still_fits(self):
+        # Taken for the next one's, it would count one customer's units as another's.
         async def slow(message):
             await asyncio.sleep(0.1 if message[1] == b"11" else 0)
             return b"$1\r\n" + message[1][-1:] + b"\r\n"
@@ -173,6 +175,7 @@
         self.kept("counter_broken")
 
     async def test_nonsense_breaks_no_more_than_its_connection(self):
+        # A call whose answer was no number was left to time out; a total that is none spoilt the estimate.
         answers = iter((b"?\r\n", b"$1\r\nx\r\n", b"*1\r\n:1\r\n", b":5\r\n:6\r\n", b"$3\r\nnan\r\n",
                         b"$1\r\n7\r\n"))
         counter = await self.counter(lambda message: next(answers))
@@ -216,6 +219,16 @@
         self.assertLess(max(b - a for a, b in zip(times, times[1:])), 0.2)
         self.kept("discovery")
 
+    async def test_an_agent_that_does_not_wait_is_not_asked_in_a_spin(self):
+        # It would take the whole core: each watch is answered at once, with nothing new.
+        far = await self.stand_in(lambda message: answer(200, "", b'{"generation":4,"instances":[]}'))
+        config = self.config({"watch_pause": 0.1})
+        watch = Watch(f"{HOST}:{far.port}", config.machines, config.limits, self.events.append)
+        watch.start()
+        self.addAsyncCleanup(watch.close)
+        await asyncio.sleep(0.35)
+        self.assertIn(len(far.messages), range(2, 6))
+
     async def test_a_silent_agent_is_asked_anew(self):
         far = await self.stand_in(lambda message: asyncio.sleep(0.4))
         config = self.config({"watch_grace": 0.05, "watch_pause": 0.02})
