--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -176,6 +176,7 @@
         idle = await self.connect(port)
         held = asyncio.create_task(self.ask(self, request(X_Time_Left="2"), connections[0]))
         await self.until(lambda: worker.messages)
+        program.send_signal(signal.SIGUSR1)
         program.send_signal(signal.SIGTERM)
         await asyncio.sleep(0.2)
         self.lines.append(f"told to end; healthz: {(await self.ask(self, ready))[0]}")
@@ -186,8 +187,9 @@
         self.lines.append(f"an idle connection then reads {await idle[0].read()!r}")
         _, errors = await asyncio.wait_for(program.communicate(), 3)
         counts = dict(field.split("=") for field in errors.decode().split() if "=" in field)
+        printed = errors.count(b"event=counts")
         self.lines.append(f"exit {program.returncode}, taken {counts['taken']}, "
-                          f"passed {counts['answered.200']}")
+                          f"passed {counts['answered.200']}; counts printed {printed} times")
         self.kept("planned_end")
 
     async def test_a_configuration_that_cannot_be_used(self):
