What a fault frees is dispatched; addresses of workers gone are dropped

Seen on reading the reducer again. Reducer._fault told the decisions that the faulty req had left and threw their orders away: where its place or its units went to another req, that dispatch never left and the req was never answered. It goes through _decide now, as every happening does; a second fault finds the req answered and stops. Addresses of workers gone were kept until the next whole list. Both have a test that fails without the change.

--- a/fernyard/node/reducer.py
+++ b/fernyard/node/reducer.py
@@ -128,6 +128,9 @@
         if event.whole:
             self.addresses = {}
         self.addresses.update(event.addresses)
+        for machine in event.machines:
+            if machine.phase is i.Phase.GONE:
+                self.addresses.pop(machine.worker, None)
         self._decide(i.Roster(i.News.WHOLE if event.whole else i.News.CHANGES, event.machines))
 
     def _tick(self, _):
@@ -209,10 +212,7 @@
         held = self.held.get(number)
         if held is not None and not held.answered:
             self._answer(number, ABORTED)
-            try:
-                self.gatekeeper.step(self.now, i.Left(number))
-            except Exception:
-                log.exception("decision_fault told=Left")
+            self._decide(i.Left(number), number)    # a second fault finds it answered
 
 
 HEAR = {Taken: Reducer._taken, Gone: Reducer._gone, Outcome: Reducer._ended, Total: Reducer._total,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -262,6 +262,17 @@
             self.lines.append(f"faults {self.made.counts.read()['faults']}, owed {self.made.owed}")
         self.kept("fault")
 
+    def test_what_a_fault_frees_goes_to_the_next_req(self):
+        # What was ordered when the faulty req left was dropped: the req that got its place was never answered.
+        class Waiting(Broken):
+            def step(self, now, told):
+                orders = super().step(now, told)
+                return [i.Dispatch(2, "s-1", 100)] if isinstance(told, i.Left) else orders
+        self.reducer(Waiting("Ended"))
+        for event in (self.taken(1), self.taken(2), Outcome(1, 0, "s-1", i.End.RESET, 5)):
+            self.tell(event)
+        self.kept("fault_frees")
+
     def test_one_answer_whatever_comes_after(self):
         self.reducer(Broken(None))
         one, two, three = (Outcome(number, 0, "s-1", i.End.PASSED, 5) for number in (1, 2, 3))
@@ -320,3 +331,6 @@
         self.tell(Told(True, (machine,), {"s-2": f"{HOST}:7"}))
         self.assertEqual(made.addresses, {"s-2": f"{HOST}:7"})
         self.assertEqual([w.id for w in made.gatekeeper.ready], ["s-2"])
+        # Workers that come and go under new ids would be remembered for ever.
+        self.tell(Told(False, (i.Machine("s-2", 0, 1, 0, i.Phase.GONE),), {}))
+        self.assertEqual(made.addresses, {})
