--- a/fernyard/__main__.py
+++ b/fernyard/__main__.py
@@ -23,8 +23,7 @@
 
 from . import __version__
 from .log import set_up
-from .settings import BadSettings, load_config
-from .settings.config import config_path
+from .settings import BadSettings, config_path, load_config
 
 
 def main(argv=None):
@@ -39,7 +38,7 @@
         config = load_config(told["CONFIG"] or config_path())
         if told["check"]:
             print("%s on %s:%d:" % (config.name, *config.listen), f"{len(config.frontends)} frontends,",
-                  f"{len(config.plans)} plans, {len(config.known['instances'])} workers known")
+                  f"{len(config.plans)} plans, {len(config.known[2])} workers known")
             return 0
         set_up(level)
         # No TLS is spoken. Else the client library would read the machine's certificates, twice, at start.
--- a/fernyard/clients/read.py
+++ b/fernyard/clients/read.py
@@ -4,6 +4,8 @@
 import re
 from urllib.parse import unquote
 
+from ..interface import Repeat
+
 CUSTOMER = re.compile(r"[0-9A-Fa-f]{16}")
 MOST_CUSTOMER = 1 << 33
 ID, PLAN, LEFT, KEY, QUOTA = "X-Correlation-Id", "Plan", "X-Time-Left", "Idempotency-Key", "Quota-Info"
@@ -23,10 +25,10 @@
 
 
 class Reader:
-    def __init__(self, frontends, plans, uniqued, replayable, limits):
-        self.frontends, self.plans = frontends, plans
-        self.uniqued, self.replayable = uniqued, replayable   # numbers of frontends
-        self.longest = limits.longest_wait
+    def __init__(self, config):
+        self.frontends, self.plans = config.frontends, config.plans
+        self.repeats = [frontend.repeat for frontend in config.settings.frontends]
+        self.longest = config.limits.longest_wait
 
     def read(self, method, path, headers):
         """(frontend, plan, customer, tenths of a millisecond left, units, doors)"""
@@ -39,12 +41,13 @@
             raise Malformed(404, "frontend")
         if not CUSTOMER.fullmatch(parts[-1]) or (customer := int(parts[-1], 16)) >= MOST_CUSTOMER:
             raise Malformed(400, "customer")
-        if method != ("GET" if frontend in self.replayable else "POST"):
+        repeat = self.repeats[frontend]
+        if method != ("GET" if repeat is Repeat.REPLAYABLE else "POST"):
             raise Malformed(400, "method")
         if not _clean(headers.get(ID)):
             raise Malformed(400, "id")
         key = headers.get(KEY)
-        if (key is None and frontend in self.uniqued) or (key is not None and not _clean(key)):
+        if (key is None and repeat is Repeat.UNIQUED) or (key is not None and not _clean(key)):
             raise Malformed(400, "key")
         plan = self.plans.get(headers.get(PLAN))
         if plan is None:
--- a/fernyard/clients/server.py
+++ b/fernyard/clients/server.py
@@ -44,10 +44,7 @@
 class ClientServer:
     def __init__(self, config, report, counts):
         self.limits, self.report, self.counts = config.limits, report, counts
-        repeats = [f.repeat.value for f in config.settings.frontends]
-        self.reader = Reader(config.frontends, config.plans,
-                             {n for n, repeat in enumerate(repeats) if repeat == "uniqued"},
-                             {n for n, repeat in enumerate(repeats) if repeat == "replayable"}, config.limits)
+        self.reader = Reader(config)
         self.number, self.waiting, self.stopping = 0, {}, False
         self.busy, self.used = set(), {}          # connections with a req in hand; order of their last use
         self.listener = self.server = None
@@ -97,7 +94,7 @@
         if message.method == "UNKNOWN":    # what the library makes of bytes that are no message
             self.counts.add("malformed", "message")
         return BaseRequest(message, payload, protocol, writer, task, asyncio.get_running_loop(),
-                               client_max_size=self.limits.body)
+                           client_max_size=self.limits.body)
 
     async def _handle(self, request):
         try:
--- a/fernyard/counter/links.py
+++ b/fernyard/counter/links.py
@@ -27,7 +27,7 @@
     """All calls of one name go over one connection, so their answers come in the order of the calls."""
 
     def __init__(self, address, limits, report):
-        self.report, self.limits = report, limits
+        self.report = report
         self.links = [Link(address, limits, self._over) for _ in range(limits.counters)]
 
     def start(self):
--- a/fernyard/node/reducer.py
+++ b/fernyard/node/reducer.py
@@ -57,15 +57,16 @@
     def start(self, now):
         """The first happenings: the settings, and the list as it was had last."""
         self.now = now
-        _, _, machines, self.addresses = self.config.machines.read(self.config.known)
+        _, _, machines, addresses = self.config.known
+        self.addresses = dict(addresses)
         launched = i.Launched(self.config.settings, self.config.seed)
         for happening in launched, i.Roster(i.News.CACHED, machines):
             self._carry_out(self.gatekeeper.step(now, happening))
         return self._asked()
 
     def reduce(self, now, event):
-        """The effects of one event. The clock of the machine may step back; ours does not."""
-        self.now = max(self.now, now)
+        """The effects of one event."""
+        self.now = now
         try:
             HEAR[type(event)](self, event)
         except Exception:
@@ -112,7 +113,7 @@
         self.counts.add("ended", event.end.value)
         if event.end is i.End.PASSED:
             self._answer(event.number, PASSED, event.body, event.headers)
-        self._closed(event.number, held, held.answered)
+        self._forget(event.number, held)
         ended = i.Ended(event.number, event.dispatch, event.worker, held.answered, event.end, event.took)
         self._decide(ended, event.number)
 
@@ -198,11 +199,13 @@
             self.effects.append(Answer(number, status, body, headers, return_in))
             self._closed(number, held)
 
-    def _closed(self, number, held, answered=True):
-        """Nothing is owed to a req that was answered or whose client has gone."""
-        if answered and not held.answered:
-            held.answered = True
-            self.owed -= 1
+    def _closed(self, number, held):
+        """Nothing is owed any more to a req that was just answered or whose client has just gone."""
+        held.answered = True
+        self.owed -= 1
+        self._forget(number, held)
+
+    def _forget(self, number, held):
         if held.answered and not held.out:
             self.held.pop(number, None)
 
--- a/fernyard/node/runner.py
+++ b/fernyard/node/runner.py
@@ -52,14 +52,13 @@
                 self.counter.start()
             self.discovery.start()
             await self.finished
-            await self.clients.close(self.config.limits.flush)
-            self.counts.print()
         finally:
-            await self.clients.close(0)
+            await self.clients.close(self.config.limits.flush)
             await self.discovery.close()
             await self.workers.close()
             if self.counter is not None:
                 self.counter.close()
+        self.counts.print()
 
     def post(self, event):
         """An event goes to the reducer at once; one that comes while another is dealt with waits for it.
--- a/fernyard/settings/config.py
+++ b/fernyard/settings/config.py
@@ -21,7 +21,7 @@
     frontends: dict[str, int]      # by the name in a req's path
     plans: dict[str, int]
     machines: Machines
-    known: dict
+    known: tuple                   # the list had last, as `machines` reads it
     limits: Limits
 
 
@@ -41,7 +41,6 @@
         settings = read_settings(wire)
         known = told.get("known") or {"generation": 0, "reset": True, "instances": []}
         machines = Machines(wire.get("zones", ()))
-        machines.read(known)
         if settings.may_count and not told.get("counter"):
             raise ValueError("a counter may be called and none is named")
         return Config(
@@ -51,7 +50,7 @@
             settings=settings,
             frontends={c["name"]: at for at, c in enumerate(wire["classes"])},
             plans={p["name"]: at for at, p in enumerate(wire.get("tariffs", ()))},
-            machines=machines, known=known, limits=Limits.fill(told.get("limits", {}), wire),
+            machines=machines, known=machines.read(known), limits=Limits.fill(told.get("limits", {}), wire),
         )
     except BadSettings:
         raise
--- a/fernyard/simhost/host.py
+++ b/fernyard/simhost/host.py
@@ -5,7 +5,7 @@
 
 from .. import interface as i
 from ..decide import Gatekeeper
-from ..settings.read import BadSettings, read_settings, tenths
+from ..settings import BadSettings, read_settings, tenths
 from . import codec
 
 ENDS = {0: i.End.PASSED, 255: i.End.ERROR, 254: i.End.FULL, 253: i.End.TIMEOUT, 252: i.End.NO_CONNECTION,
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -201,6 +201,19 @@
         return head[0], headers, await reader.readexactly(int(headers.get("Content-Length", 0)))
 
 
+async def read_call(reader):
+    """The parts of one call in RESP2, or nothing at the end."""
+    try:
+        count = int((await reader.readuntil(b"\r\n"))[1:])
+        parts = []
+        for _ in range(count):
+            size = int((await reader.readuntil(b"\r\n"))[1:])
+            parts.append((await reader.readexactly(size + 2))[:-2])
+        return parts
+    except asyncio.IncompleteReadError:
+        return None
+
+
 class Sockets(Traced, unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.lines, self.opened, self.events, self.connections = [], [], [], []
@@ -225,7 +238,7 @@
         config = read_config(configuration(**told))
         return replace(config, limits=replace(config.limits, **(limits or {})))
 
-    async def gatekeeper(self, *workers, limits=None, counter=1, most=None):
+    async def gatekeeper(self, *workers, limits=None, counter=1):
         """A gatekeeper that runs; the task of its run is `self.running`."""
         silent = await self.stand_in(lambda message: None)
         config = self.config(limits, workers=[entry(f"s-{n}", w.port) for n, w in enumerate(workers)],
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,9 +17,10 @@
 from fernyard.node import Node
 from fernyard.node.clock import Clock
 from fernyard.node.reducer import Fault, Reducer, Stop, Tick
+from fernyard.settings import read_config
 from fernyard.workers import Outcome
 
-from .helper import CUSTOMER, HOST, PASSED, Sockets, Traced, configuration, entry, read_config, request
+from .helper import CUSTOMER, HOST, PASSED, Sockets, Traced, configuration, entry, read_call, request
 
 
 class Serving(Sockets):
@@ -131,19 +132,6 @@
         self.kept("counter_calls")     # added, the bucket before read, taken back
 
 
-async def read_call(reader):
-    """The parts of one call in RESP2, or nothing at the end."""
-    try:
-        count = int((await reader.readuntil(b"\r\n"))[1:])
-        parts = []
-        for _ in range(count):
-            size = int((await reader.readuntil(b"\r\n"))[1:])
-            parts.append((await reader.readexactly(size + 2))[:-2])
-        return parts
-    except asyncio.IncompleteReadError:
-        return None
-
-
 class Program(Sockets):
     """The program itself, in a process of its own."""
 
@@ -263,7 +251,7 @@
         self.kept("fault")
 
     def test_what_a_fault_frees_goes_to_the_next_req(self):
-        # What was ordered when the faulty req left was dropped: the req that got its place was never answered.
+        # Orders made when the faulty req left were dropped: the req that got its place was never answered.
         class Waiting(Broken):
             def step(self, now, told):
                 orders = super().step(now, told)
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -9,8 +9,7 @@
 from fernyard.discovery import Watch
 from fernyard.workers import WorkerPool
 
-from .helper import CUSTOMER, HOST, PASSED, Sockets, entry
-from .test_node import read_call
+from .helper import CUSTOMER, HOST, PASSED, Sockets, entry, read_call
 
 
 def answer(status, headers="", body=b"x"):
