SIGHUP moves discovery and counter to the addresses of the new file; it ended the program

The runner sets handlers of SIGTERM, SIGINT and SIGUSR1 alone (node/runner.py, run), so the default action applied; discovery and counter had one address for life.

Now Reload and Configured go through the reducer, which orders the file read and the move. The watch on the old discovery lives until the new one has told its whole list; calls go to the new counter when its connections are up, and behind any call of the same name that is out on the old ones, since the decisions match answers to calls in order. A bad file changes nothing. A connection to the counter that could not be had is tried again by itself, no longer at the next call only.

--- a/fernyard/__main__.py
+++ b/fernyard/__main__.py
@@ -5,7 +5,8 @@
   fernyard check [CONFIG]
   fernyard version
 
-serve runs the gatekeeper that the configuration describes, until SIGTERM. SIGUSR1 prints its counts.
+serve runs the gatekeeper that the configuration describes, until SIGTERM. SIGUSR1 prints its counts; on
+SIGHUP it reads the configuration again and takes discovery and the counter from it.
 check reads a configuration and says what it is for, or why it cannot be used.
 
 The configuration is CONFIG, or else the file that EDGE_CONFIG names.
@@ -17,6 +18,7 @@
 import asyncio
 import logging
 import os
+import signal
 import sys
 
 from docopt import docopt
@@ -35,7 +37,9 @@
         level = logging.getLevelNamesMapping().get(told["--log"].upper())
         if level is None:
             raise BadSettings(f"--log {told['--log']} is no level")
-        config = load_config(told["CONFIG"] or config_path())
+        path = told["CONFIG"] or config_path()
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)    # until it is served, one ends nothing
+        config = load_config(path)
         if told["check"]:
             print("%s on %s:%d:" % (config.name, *config.listen), f"{len(config.frontends)} frontends,",
                   f"{len(config.plans)} plans, {len(config.known[2])} workers known")
@@ -44,7 +48,7 @@
         # No TLS is spoken. Else the client library would read the machine's certificates, twice, at start.
         os.environ.update(SSL_CERT_FILE=os.devnull, SSL_CERT_DIR=os.devnull)
         from .node import Node
-        asyncio.run(Node(config).run())
+        asyncio.run(Node(config, lambda: load_config(path)).run())
     except (BadSettings, OSError) as why:
         print(f"fernyard: {' '.join(str(why).split())}", file=sys.stderr)
         return 2
--- a/fernyard/counter/links.py
+++ b/fernyard/counter/links.py
@@ -27,15 +27,35 @@
     """All calls of one name go over one connection, so their answers come in the order of the calls."""
 
     def __init__(self, address, limits, report):
-        self.report = report
+        self.limits, self.report, self.old, self.next = limits, report, [], []
         self.links = [Link(address, limits, self._over) for _ in range(limits.counters)]
 
     def start(self):
         for link in self.links:
             link.open()
 
+    def move(self, address):
+        """Calls go to `address` once its connections are up; what is out on the old ones is waited for."""
+        for link in self.next:
+            link.close()
+        self.next = []
+        if address != self.links[0].address:
+            self.next = [Link(address, self.limits, self._over, self._up) for _ in self.links]
+            for link in self.next:
+                link.open()
+
+    def _up(self):
+        if self.next and all(link.transport is not None for link in self.next):
+            self.old, self.links, self.next = self.old + self.links, self.next, []
+            for link in self.old:
+                link.retire()
+
     def call(self, name, amount, keep):
-        self.links[name % len(self.links)].call(Call(name, amount, keep))
+        self.old = [link for link in self.old if not link.closed]
+        # Behind a call of its name that is out still: else the answers would change places.
+        links = [link for link in self.old if link.awaits(name)]
+        link = links[0] if links else self.links[name % len(self.links)]
+        link.call(Call(name, amount, keep))
 
     def _over(self, call, end, total=0.0):
         """The first end of a call counts; what comes later is dropped."""
@@ -46,7 +66,7 @@
             self.report(Total(call.name, end, total, took))
 
     def close(self):
-        for link in self.links:
+        for link in self.links + self.next + self.old:
             link.close()
 
 
@@ -62,8 +82,8 @@
 class Link(asyncio.Protocol):
     """One connection. `sent` holds the calls written, in order; `held` those that wait for it to come up."""
 
-    def __init__(self, address, limits, over):
-        self.address, self.limits, self.over = address, limits, over
+    def __init__(self, address, limits, over, up=lambda: None):
+        self.address, self.limits, self.over, self.up, self.retired = address, limits, over, up, False
         self.sent, self.held, self.transport, self.opening, self.closed = deque(), deque(), None, None, False
         self.reader, self.heard, self.made, self.pause = None, 0.0, 0.0, None
 
@@ -80,11 +100,28 @@
             self.held.append(call)
             self.open()
 
+    def awaits(self, name):
+        return any(call.name == name and call.timer is not None for call in self.sent)
+
+    def retire(self):
+        """Takes no new calls; ends when none that is out can be answered in time any more."""
+        self.retired = True
+        self.held, held = deque(), self.held
+        for call in held:
+            self.over(call, End.NO_CONNECTION)
+        self._end_retired()
+
+    def _end_retired(self):
+        if self.retired and not any(call.timer is not None for call in self.sent):
+            self.close()
+
     def _late(self, call):
         if call in self.held:
             self.held.remove(call)
             return self.over(call, End.NO_CONNECTION)
         self.over(call, End.TIMEOUT)
+        if self.retired:
+            return self._end_retired()
         # A machine that is cut off says nothing, and its connection stays open.
         silent = asyncio.get_running_loop().time() - self.limits.counter_silence
         if self.sent and (max(self.heard, self.sent[0].began) < silent
@@ -110,6 +147,7 @@
         """Until the next try, calls end at once: nothing of them is written."""
         def over():
             self.pause = None
+            self.open()
         self.pause = asyncio.get_running_loop().call_later(self.limits.counter_pause, over)
 
     def connection_made(self, transport):
@@ -119,6 +157,7 @@
         if self.held:
             transport.write(b"".join(call.bytes for call in self.held))
         self.held.clear()
+        self.up()
 
     def data_received(self, data):
         self.heard = asyncio.get_running_loop().time()
@@ -129,6 +168,7 @@
                     raise hiredis.ProtocolError("an answer to no call")
                 told = self._read(answer)
                 self.over(self.sent.popleft(), *told)
+            self._end_retired()
         except (hiredis.ProtocolError, ValueError, TypeError) as why:
             log.warning("counter_answer_unread why=%s", why)
             self.transport.abort()
@@ -146,12 +186,16 @@
         self.transport = None
         while self.sent:
             self.over(self.sent.popleft(), End.RESET)
-        if asyncio.get_running_loop().time() - self.made > self.limits.counter_pause:
+        if self.closed or self.retired:
+            self.closed = True
+        elif asyncio.get_running_loop().time() - self.made > self.limits.counter_pause:
             self.open()
         else:
             self._wait()
 
     def close(self):
         self.closed = True
+        if self.opening is not None:
+            self.opening.cancel()
         if self.transport is not None:
             self.transport.close()
--- a/fernyard/discovery/watch.py
+++ b/fernyard/discovery/watch.py
@@ -23,41 +23,52 @@
 
 class Watch:
     def __init__(self, address, machines, limits, report):
-        self.url = f"http://{address}/v1/servers"
-        self.machines, self.limits, self.report = machines, limits, report
-        self.task = self.session = None
+        self.address, self.machines, self.limits, self.report = address, machines, limits, report
+        self.task = self.next = self.session = None
 
     def start(self):
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=1), cookie_jar=aiohttp.DummyCookieJar(),
+            connector=aiohttp.TCPConnector(limit_per_host=1), cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=self.limits.connect))
-        self.task = asyncio.get_running_loop().create_task(self._follow())
+        self.task = asyncio.get_running_loop().create_task(self._follow(self.address))
 
-    async def _follow(self):
+    def move(self, address):
+        """Watches `address` from its whole list on. The old one is watched until the new one has answered:
+        what it tells in between is as true."""
+        if self.next is not None:
+            self.next.cancel()
+            self.next = None
+        if address != self.address:
+            self.next = asyncio.get_running_loop().create_task(self._follow(address))
+
+    async def _follow(self, address):
         version, failed = None, False
         while True:
             asked = asyncio.get_running_loop().time()
             try:
-                version, told = await self._ask(version)
+                version, told = await self._ask(address, version)
                 failed = False
+                if self.next is asyncio.current_task():
+                    self.task.cancel()
+                    self.task, self.next, self.address = self.next, None, address
                 if told.whole or told.machines:
                     self.report(told)
                 elif asyncio.get_running_loop().time() - asked < self.limits.watch_pause:
                     # One that does not wait is not asked in a spin.
                     await asyncio.sleep(self.limits.watch_pause)
             except Exception as why:    # whatever came, the watch goes on
-                if not failed:
+                if not failed and self.next is not asyncio.current_task():
                     log.warning("discovery_unheard why=%s", type(why).__name__)
                     self.report(Told())
                 failed, version = True, None if isinstance(why, ValueError) else version
                 await asyncio.sleep(self.limits.watch_pause)
 
-    async def _ask(self, version):
+    async def _ask(self, address, version):
         wait, query = 0.0, {}
         if version is not None:
             wait, query = self.limits.watch, {"since": version, "timeout_ms": int(self.limits.watch * 1000)}
         async with asyncio.timeout(wait + self.limits.watch_grace):
-            async with self.session.get(self.url, params=query, allow_redirects=False) as answer:
+            async with self.session.get(f"http://{address}/v1/servers", params=query, allow_redirects=False) as answer:
                 if answer.status != 200:
                     raise ValueError(f"status {answer.status}")
                 version, whole, machines, addresses = self.machines.read(json.loads(await answer.read()))
@@ -66,4 +77,5 @@
     async def close(self):
         if self.task is not None:
             self.task.cancel()
+            self.move(self.address)
             await self.session.close()
--- a/fernyard/node/effects.py
+++ b/fernyard/node/effects.py
@@ -43,6 +43,19 @@
     keep: int
 
 
+@dataclass(slots=True)
+class ReadConfig:
+    """Read the configuration again; what it holds comes back as an event."""
+
+
+@dataclass(slots=True)
+class Move:
+    """Discovery and the counter are at other addresses from now on."""
+
+    discovery: str
+    counter: tuple[str, int] | None
+
+
 @dataclass(slots=True)
 class LastAnswers:
     """Told to stop: each answer from now on is the last on its connection."""
--- a/fernyard/node/reducer.py
+++ b/fernyard/node/reducer.py
@@ -14,7 +14,8 @@
 from ..decide import Gatekeeper
 from ..discovery import Told
 from ..workers import Outcome
-from .effects import Answer, Call, CloseIdle, Finish, GiveUp, LastAnswers, Send
+from ..settings import Config
+from .effects import Answer, Call, CloseIdle, Finish, GiveUp, LastAnswers, Move, ReadConfig, Send
 
 log = logging.getLogger(__name__)
 PASSED, DENIED, ABORTED = 200, 429, 502
@@ -30,6 +31,18 @@
     """The program was told to end."""
 
 
+@dataclass(slots=True)
+class Reload:
+    """The program was told that its configuration is another."""
+
+
+@dataclass(slots=True)
+class Configured:
+    """The configuration as it stands now; nothing where it cannot be used."""
+
+    config: Config | None
+
+
 @dataclass(slots=True)
 class Fault:
     """An effect could not be carried out; `number` names its req, if it has one."""
@@ -152,6 +165,18 @@
             self.effects.append(LastAnswers())
             heappush(self.timers, (self.now + int(self.config.limits.accept_after_stop * 10_000), 0, None))
 
+    def _reload(self, _):
+        self.effects.append(ReadConfig())
+
+    def _configured(self, event):
+        """Addresses move while all goes on; what else stands in the file holds from the next start."""
+        now, old = event.config, self.config
+        self.counts.add("reloads", "failed" if now is None else "read")
+        if now is not None:
+            log.info("reloaded discovery=%s counter=%s others_changed=%s", now.discovery, now.counter,
+                     (now.settings, now.limits, now.listen) != (old.settings, old.limits, old.listen))
+            self.effects.append(Move(now.discovery, now.counter))
+
     def _faulted(self, event):
         self._fault(event.number)
 
@@ -219,4 +244,5 @@
 
 
 HEAR = {Taken: Reducer._taken, Gone: Reducer._gone, Outcome: Reducer._ended, Total: Reducer._total,
-        Told: Reducer._told, Tick: Reducer._tick, Stop: Reducer._stop, Fault: Reducer._faulted}
+        Told: Reducer._told, Tick: Reducer._tick, Stop: Reducer._stop, Fault: Reducer._faulted,
+        Reload: Reducer._reload, Configured: Reducer._configured}
--- a/fernyard/node/runner.py
+++ b/fernyard/node/runner.py
@@ -9,17 +9,19 @@
 from ..counter import Counter
 from ..discovery import Told, Watch
 from ..log import Counts
+from ..settings import BadSettings
 from ..workers import WorkerPool
 from . import effects as e
 from .clock import Clock
-from .reducer import Fault, Reducer, Stop, Tick
+from .reducer import Configured, Fault, Reducer, Reload, Stop, Tick
 
 log = logging.getLogger(__name__)
 
 
 class Node:
-    def __init__(self, config):
-        self.config, self.counts = config, Counts()
+    def __init__(self, config, reread=None):
+        """`reread` reads the configuration again, or raises BadSettings."""
+        self.config, self.reread, self.counts = config, reread, Counts()
         self.reducer = Reducer(config, self.counts)
         self.clock, self.events, self.draining = Clock(), deque(), False
         self.alarm, self.alarm_at = None, None
@@ -32,6 +34,8 @@
             e.Send: lambda x: self.workers.send(x.number, x.dispatch, x.worker, x.address, x.req, x.limit),
             e.GiveUp: lambda x: self.workers.give_up(x.number, x.dispatch),
             e.Call: lambda x: self.counter.call(x.name, x.amount, x.keep),
+            e.ReadConfig: lambda x: self._read_config(),
+            e.Move: self._move,
             e.LastAnswers: lambda x: self.clients.stop(),
             e.CloseIdle: lambda x: self.clients.close_idle(),
             e.Finish: lambda x: self.finished.set_result(None),
@@ -45,6 +49,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.post, Stop())
         self.loop.add_signal_handler(signal.SIGUSR1, self.counts.print)
+        self.loop.add_signal_handler(signal.SIGHUP, self.post, Reload())
         self.workers.start()
         try:
             await self.clients.listen(*self.config.listen)
@@ -91,6 +96,19 @@
             due = at + grain - at % grain
             self.alarm = self.loop.call_later((due - self.clock()) / 10_000, self._ring)
 
+    def _read_config(self):
+        try:
+            config = self.reread()
+        except BadSettings as why:
+            log.warning("reload_refused why=%r", str(why))
+            config = None
+        self.post(Configured(config))
+
+    def _move(self, to):
+        self.discovery.move(to.discovery)
+        if self.counter is not None and to.counter is not None:
+            self.counter.move(to.counter)
+
     def _ring(self):
         self.alarm = self.alarm_at = None
         self.post(Tick())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -139,6 +139,7 @@
         with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
             file.write(told if isinstance(told, str) else json.dumps(told))
         self.addCleanup(os.unlink, file.name)
+        self.file = file.name
         return await asyncio.create_subprocess_exec(
             sys.executable, "-B", "-m", "fernyard", *(arguments or ("serve",)),
             stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
@@ -180,6 +181,56 @@
                           f"passed {counts['answered.200']}; counts printed {printed} times")
         self.kept("planned_end")
 
+    async def test_a_new_configuration_moves_discovery_and_counter_and_loses_nothing(self):
+        # SIGHUP ended the program. What is out on the old counter is answered there; a bad file changes
+        # nothing; the old discovery is heard until the new one speaks, and not after.
+        async def slow(message):
+            await asyncio.sleep(0.03)
+            return b"$1\r\n1\r\n"
+
+        def listed(*entries):
+            body = json.dumps({"generation": 9, "reset": True, "instances": entries}).encode()
+            return PASSED.replace(b"5", b"%d" % len(body)).replace(b"books", body)
+        workers = [await self.stand_in(lambda message: PASSED) for _ in range(2)]
+        counters = [await self.stand_in(slow, read=read_call) for _ in range(2)]
+        lists = [await self.stand_in(lambda message, entry=entry(f"s-{n}", worker.port): (
+            asyncio.sleep(9) if "since" in message[0] else listed(entry))) for n, worker in enumerate(workers)]
+        port = (await self.stand_in(None)).port
+        self.opened.pop().server.close()
+        program = await self.start(configuration(
+            listen=port, counter=counters[0].port, discovery=lists[0].port))
+        self.port, connection = port, None
+        while not connection:
+            try:
+                connection = await self.connect(port)
+            except OSError:
+                await asyncio.sleep(0.02)
+
+        async def asks(words):
+            before = [len(far.messages) for far in workers + counters]
+            path = f"/look%20up/{len(self.lines):016x}"
+            status, _, _ = await self.ask(self, request(path, Plan="small"), connection)
+            told = [len(far.messages) - n for far, n in zip(workers + counters, before)]
+            self.lines.append(f"{words}: {status}; workers {told[:2]}, counters {told[2:]}")
+        await asks("before")
+        for words, told in (("a file that is none", "{"), ("moved", json.dumps(configuration(
+                listen=port, counter=counters[1].port, discovery=lists[1].port)))):
+            with open(self.file, "w") as file:
+                file.write(told)
+            held = asyncio.create_task(asks(f"{words}, while told"))
+            await asyncio.sleep(0.015)
+            program.send_signal(signal.SIGHUP)
+            await held
+            await asyncio.sleep(0.1)
+            if words == "moved":
+                await self.until(lambda: all(w.is_closing() for w in counters[0].writers))
+                lists[0].server.close()
+            await asks(words)
+        program.send_signal(signal.SIGTERM)
+        _, errors = await asyncio.wait_for(program.communicate(), 3)
+        self.lines.append(f"exit {program.returncode}, refused {errors.count(b'event=reload_refused')}")
+        self.kept("reload")
+
     async def test_a_configuration_that_cannot_be_used(self):
         told = configuration(settings={})
         for words, bad in (("not JSON", "{"), ("nothing", "{}"), ("no settings", told),
