Clients' connections are bounded in number and time; lengths, ids and figures read strictly

Checked: the event loop tries a full backlog of accepts at each such failure and sets a timer for every one, so the core went to that (Server's accept; clients/server.py, listen); closing began only when a req had been taken on a new connection (_serve), and the library's idle time was 120 s, so connections that ask nothing stood for good.

Connections are now taken in by clients/connections.py, which makes room first and waits where every one holds a req. Also read strictly: a length beside chunks or told twice, a body behind GET, units, sets and times out of the settings' range (36 reqs of bad clients had come to workers), an id used before, more reqs behind one in hand. What is malformed ends its connection.

--- a/fernyard/clients/read.py
+++ b/fernyard/clients/read.py
@@ -1,14 +1,15 @@
 """What the decisions need of a req, taken out of it; the rest stays as it came."""
 
-import math
 import re
 from urllib.parse import unquote
 
 from ..interface import Repeat
 
 CUSTOMER = re.compile(r"[0-9A-Fa-f]{16}")
+NUMBER, WHOLE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,18})?"), re.compile(r"[0-9]{1,9}")
 MOST_CUSTOMER = 1 << 33
 ID, PLAN, LEFT, KEY, QUOTA = "X-Correlation-Id", "Plan", "X-Time-Left", "Idempotency-Key", "Quota-Info"
+ONCE = (ID, PLAN, LEFT, KEY, QUOTA, "Content-Length", "Transfer-Encoding", "Host")
 # Of one connection or of ours alone: these go on neither way, all others do.
 OWN = frozenset((
     b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
@@ -28,10 +29,12 @@
     def __init__(self, config):
         self.frontends, self.plans = config.frontends, config.plans
         self.repeats = [frontend.repeat for frontend in config.settings.frontends]
-        self.longest = config.limits.longest_wait
+        self.longest, self.body = config.limits.longest_wait, config.limits.body
+        self.most_units, self.gatekeepers = config.limits.units, config.settings.gatekeepers
 
     def read(self, method, path, headers):
         """(frontend, plan, customer, tenths of a millisecond left, units, doors)"""
+        self._framing(method, headers)
         if not path.startswith("/") or not path.isascii() or "#" in path:
             raise Malformed(400, "path")
         parts = path.partition("?")[0].split("/")
@@ -55,13 +58,27 @@
         try:
             left = _number(headers.get(LEFT))
             quota = dict(part.strip().split("=", 1) for part in headers.get(QUOTA, "").split(",") if part)
-            units, doors = _number(quota.get("units", "1")), int(quota.get("spread", "1"))
+            units = _number(quota.get("units", "1"))
+            doors, first = _whole(quota.get("spread", "1")), _whole(quota.get("first", "0"))
         except (ValueError, TypeError):
             raise Malformed(400, "figures") from None
-        if units < 0 or units > 1e9 or not 0 < doors < 1 << 16:
+        # Units out of range, in a usual customer's name, would stand in that customer's counts.
+        if not 0 < units <= self.most_units or not 0 < doors <= self.gatekeepers or first >= self.gatekeepers:
             raise Malformed(400, "figures")
         return frontend, plan, customer, max(1, int(min(left, self.longest) * 10_000)), units, doors
 
+    def _framing(self, method, headers):
+        """One length, told in one way: else another req may hide in the body."""
+        if any(len(headers.getall(name, ())) > 1 for name in ONCE):
+            raise Malformed(400, "told_twice")
+        coded, length = headers.get("Transfer-Encoding"), headers.get("Content-Length", "0")
+        if coded is not None and ("Content-Length" in headers or coded.lower() != "chunked" or method == "GET"):
+            raise Malformed(400, "framing")
+        if not WHOLE.fullmatch(length) or method == "GET" and int(length):
+            raise Malformed(400, "framing")
+        if int(length) > self.body:
+            raise Malformed(413, "body")
+
 
 def passed_on(raw_headers):
     """What goes on, spelt as it came (the library's own mapping spells some names anew)."""
@@ -74,7 +91,12 @@
 
 
 def _number(text):
-    value = float(text)
-    if not math.isfinite(value):
+    if not NUMBER.fullmatch(text):
+        raise ValueError(text)
+    return float(text)
+
+
+def _whole(text):
+    if not WHOLE.fullmatch(text):
         raise ValueError(text)
-    return value
+    return int(text)
--- a/fernyard/clients/server.py
+++ b/fernyard/clients/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import OrderedDict
 from dataclasses import dataclass
 
 # `aiohttp.web` would bring in all that applications use: a fifteenth of the start.
@@ -9,10 +10,10 @@
 from aiohttp.web_protocol import RequestPayloadError
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response
-from aiohttp.web_server import Server
 from multidict import CIMultiDict
 
-from .read import Malformed, Reader, passed_on
+from .connections import Connections
+from .read import ID, Malformed, Reader, passed_on
 
 log = logging.getLogger(__name__)
 
@@ -46,15 +47,12 @@
         self.limits, self.report, self.counts = config.limits, report, counts
         self.reader = Reader(config)
         self.number, self.waiting, self.stopping = 0, {}, False
-        self.busy, self.used = set(), {}          # connections with a req in hand; order of their last use
-        self.listener = self.server = None
+        self.ids = OrderedDict()          # of late, the open ones among them
+        self.connections = None
 
     async def listen(self, host, port):
-        loop = asyncio.get_running_loop()
-        self.server = Server(
-            self._handle, handler_cancellation=True, access_log=None, auto_decompress=False,
-            keepalive_timeout=self.limits.client_idle, request_factory=self._request)
-        self.listener = await loop.create_server(self.server, host, port, backlog=self.limits.backlog)
+        self.connections = Connections(self._handle, self._request, self.limits, self.counts)
+        self.connections.listen(host, port)
 
     def answer(self, number, status, body, headers, return_in):
         """Answers a req whole; a client that has gone is not answered."""
@@ -66,29 +64,21 @@
         """From now on each answer is the last on its connection."""
         self.stopping = True
 
-    def close_idle(self, most=0):
-        """Closes connections between reqs, the longest unused first, until `most` are open."""
-        connections = self.server.connections
-        idle = sorted((c for c in connections if c not in self.busy), key=lambda c: self.used.get(c, 0))
-        for connection in idle[:len(connections) - most]:
-            connection.force_close()
-        self._forget_closed()
-
-    def _forget_closed(self):
-        connections = set(self.server.connections)
-        self.used = {c: at for c, at in self.used.items() if c in connections}
+    def close_idle(self):
+        """Closes connections between reqs."""
+        self.connections.drop_unused()
 
     async def close(self, patience):
         """Ends when all that is in hand was answered and written; connections that stay open without a req
         are closed after `patience` seconds."""
-        if self.listener is None:
+        if self.connections is None:
             return
-        self.listener.close()
+        self.connections.stop_listening()
         self.close_idle()
         until = asyncio.get_running_loop().time() + patience
-        while self.server.connections and (self.busy or asyncio.get_running_loop().time() < until):
+        while self.connections.open and (self.waiting or asyncio.get_running_loop().time() < until):
             await asyncio.sleep(0.01)
-        await self.server.shutdown(0)
+        await self.connections.shutdown(0)
 
     def _request(self, message, payload, protocol, writer, task):
         if message.method == "UNKNOWN":    # what the library makes of bytes that are no message
@@ -116,30 +106,42 @@
                 await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
                 request.writer.output_size = 0
             body = await request.read() if request.body_exists else b""
+            self._note_id(headers[ID])
         except Malformed as why:
-            self.counts.add("malformed", str(why))
-            return self._response(why.status)
+            return self._refused(str(why), why.status)
         except (HTTPRequestEntityTooLarge, RequestPayloadError) as why:
-            self.counts.add("malformed", "body")
-            return self._response(getattr(why, "status", 400))
+            return self._refused("body", getattr(why, "status", 400))
         self.number = number = self.number + 1
         waiting = self.waiting[number] = asyncio.get_running_loop().create_future()
-        self.report(Taken(number, request.method, path, passed_on(request.raw_headers), body, *told))
         connection = request.protocol
-        self.busy.add(connection)
-        if connection not in self.used and len(self.server.connections) > self.limits.clients:
-            self.close_idle(self.limits.clients)
+        self.connections.begun(connection)
+        self.report(Taken(number, request.method, path, passed_on(request.raw_headers), body, *told))
         try:
-            return self._response(*await waiting)
+            response = self._response(*await waiting)
         except asyncio.CancelledError:
             self.report(Gone(number))
             raise
         finally:
             self.waiting.pop(number, None)
-            self.busy.discard(connection)
-            self.used[connection] = number
-            if len(self.used) > 2 * self.limits.clients:
-                self._forget_closed()
+            self.connections.ended(connection)
+        if connection.behind:
+            response.force_close()
+        return response
+
+    def _note_id(self, told):
+        """Each req has an id of its own: one that was told before is another's."""
+        if told in self.ids:
+            raise Malformed(409, "id_taken")
+        self.ids[told] = None
+        if len(self.ids) > self.limits.ids:
+            self.ids.popitem(last=False)
+
+    def _refused(self, why, status):
+        """What is no req ends its connection: nothing behind it is read."""
+        self.counts.add("malformed", why)
+        response = self._response(status)
+        response.force_close()
+        return response
 
     def _response(self, status, body=b"", headers=(), return_in=0):
         told = CIMultiDict(passed_on(headers)) if headers else None
--- a/fernyard/settings/limits.py
+++ b/fernyard/settings/limits.py
@@ -12,7 +12,14 @@
     workers: int               # worker connections, past which none is kept idle
     counters: int              # connections to the counter
     backlog: int               # connections the kernel may hold for us
+    line: int                  # bytes of a line in the head of a req
+    lines: int                 # of them
+    ids: int                   # of reqs taken last, which no other may have
+    units: float               # that a req may take
     client_idle: float         # a client connection that stood idle so long is closed
+    whole_req: float           # a new client connection that has sent no whole req by then is closed
+    first_room: float          # one that has sent none for so long makes room first
+    sweep: float               # between two looks at what has stood too long
     worker_idle: float         # a worker connection that stood idle so long is not used again
     connect: float             # a connection not up by then never came up
     count: float               # a call to the counter unanswered by then is given up
@@ -31,14 +38,16 @@
     def fill(cls, told, settings):
         """From the machine's limits and the settings as the operators word them."""
         allowed, extra = settings.get("allowed", {}), settings.get("extra", {})
+        longest = max((c["hardLimitMs"] for c in settings.get("classes", ())), default=30_000)
         sockets = min(1024, int(told.get("sockets", 1024)))
         return cls(
             body=64 * 1024, clients=sockets // 2, workers=sockets // 4,
-            counters=min(4, max(1, sockets // 64)), backlog=512, client_idle=120.0,
+            counters=min(4, max(1, sockets // 64)), backlog=512, line=4096, lines=64, ids=2048,
+            units=extra.get("maxUnits") or 1e6, client_idle=4.0, whole_req=2.0, first_room=0.1, sweep=0.25,
             worker_idle=min(60.0, 0.45 * allowed.get("connIdleMs", 15_000) / 1000),
             connect=allowed.get("connectTimeoutMs", 250) / 1000,
             count=extra.get("counterTimeoutMs", 50) / 1000,
             counter_silence=1.0, counter_pause=0.1, counter_owed=2000,
             watch=10.0, watch_grace=1.5, watch_pause=0.1,
-            accept_after_stop=0.5, longest_wait=600.0, grain=0.004, flush=0.5,
+            accept_after_stop=0.5, longest_wait=2 * longest / 1000, grain=0.004, flush=0.5,
         )
