Workers' answers are read to their last byte and no further; a connection belongs to one worker

workers/connections.py reads one answer by its length, drops and closes what is behind, gives up one that pauses for 0.15 s within, gives out no connection on which anything waits unread, and names connections by worker instead of address. Spoilt stays a failed dispatch that may have run.

The counter: part of an answer at the time-out, and a refusal of another kind, end the connection; at most one log line a second.

--- a/fernyard/counter/links.py
+++ b/fernyard/counter/links.py
@@ -11,6 +11,7 @@
 from ..interface import End
 
 log = logging.getLogger(__name__)
+REFUSALS = {"BUSY": End.FULL, "ERR": End.UNSENT}        # in both nothing was added
 
 
 @dataclass(slots=True)
@@ -85,7 +86,7 @@
     def __init__(self, address, limits, over, up=lambda: None):
         self.address, self.limits, self.over, self.up, self.retired = address, limits, over, up, False
         self.sent, self.held, self.transport, self.opening, self.closed = deque(), deque(), None, None, False
-        self.reader, self.heard, self.made, self.pause = None, 0.0, 0.0, None
+        self.reader, self.heard, self.made, self.pause, self.warned = None, 0.0, 0.0, None, 0.0
 
     def call(self, call):
         loop = asyncio.get_running_loop()
@@ -122,6 +123,8 @@
         self.over(call, End.TIMEOUT)
         if self.retired:
             return self._end_retired()
+        if self.transport is not None and self.reader.has_data():     # part of an answer, and never the rest
+            return self.transport.abort()
         # A machine that is cut off says nothing, and its connection stays open.
         silent = asyncio.get_running_loop().time() - self.limits.counter_silence
         if self.sent and (max(self.heard, self.sent[0].began) < silent
@@ -170,13 +173,17 @@
                 self.over(self.sent.popleft(), *told)
             self._end_retired()
         except (hiredis.ProtocolError, ValueError, TypeError) as why:
-            log.warning("counter_answer_unread why=%s", why)
+            if self.heard - self.warned > 1.0:
+                self.warned = self.heard
+                log.warning("counter_answer_unread why=%r", str(why))
             self.transport.abort()
 
     @staticmethod
     def _read(answer):
         if isinstance(answer, hiredis.ReplyError):
-            return (End.FULL if str(answer).startswith("BUSY") else End.UNSENT,)
+            if str(answer).split(" ")[0] not in REFUSALS:
+                raise ValueError(answer)
+            return (REFUSALS[str(answer).split(" ")[0]],)
         total = float(answer)
         if not math.isfinite(total):
             raise ValueError(answer)
--- a/fernyard/settings/limits.py
+++ b/fernyard/settings/limits.py
@@ -10,6 +10,9 @@
     body: int                  # bytes of a req or an answer
     clients: int               # client connections, past which idle ones are closed
     workers: int               # worker connections, past which none is kept idle
+    workers_known: int         # workers that connections may belong to
+    answer: float              # a pause within an answer, past which it has lost its end
+    answer_head: int           # bytes of the head of an answer
     counters: int              # connections to the counter
     backlog: int               # connections the kernel may hold for us
     line: int                  # bytes of a line in the head of a req
@@ -41,7 +44,7 @@
         longest = max((c["hardLimitMs"] for c in settings.get("classes", ())), default=30_000)
         sockets = min(1024, int(told.get("sockets", 1024)))
         return cls(
-            body=64 * 1024, clients=sockets // 2, workers=sockets // 4,
+            body=64 * 1024, clients=sockets // 2, workers=sockets // 4, workers_known=4096, answer=0.15, answer_head=16 * 1024,
             counters=min(4, max(1, sockets // 64)), backlog=512, line=4096, lines=64, ids=2048,
             units=extra.get("maxUnits") or 1e6, client_idle=4.0, whole_req=2.0, first_room=0.1, sweep=0.25,
             worker_idle=min(60.0, 0.45 * allowed.get("connIdleMs", 15_000) / 1000),
--- /dev/null
+++ b/fernyard/workers/connections.py
@@ -0,0 +1,135 @@
+"""The connections to workers: each belongs to one worker, and an answer on it is read to its last byte and no
+further. What comes behind, or with no req out, is nobody's answer: its connection is not used again."""
+
+import re
+import select
+import socket
+
+import aiohttp
+from aiohttp.abc import AbstractResolver
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import set_exception
+
+LENGTH = re.compile(rb"\r\nContent-Length:[ \t]*([0-9]{1,15})[ \t]*(?=\r\n)", re.IGNORECASE)
+CODED = re.compile(rb"\r\nTransfer-Encoding:", re.IGNORECASE)
+EARLY = re.compile(rb"HTTP/1\.1 1(?!01)[0-9][0-9] ")         # more is to come, with no time told
+
+
+class Socket(socket.socket):
+    """Tells its owner when it is closed, so that the descriptors in use are known."""
+
+    owner = None
+
+    def close(self):
+        if self.owner is not None:
+            self.owner.open -= 1
+            self.owner = None
+        super().close()
+
+
+class Answers(ResponseHandler):
+    """What comes on one connection. `due`: an answer is waited for; `left`: bytes of its body to come, as far
+    as its head tells; `head`: what came of a head not yet whole."""
+
+    due = False
+
+    def __init__(self, loop, limits):
+        super().__init__(loop)
+        self.limits = limits
+
+    def set_response_params(self, **told):
+        super().set_response_params(**told)
+        self.due, self.left, self.head = True, None, b""
+
+    def data_received(self, data):
+        if not data:            # the library reads on in what it holds
+            return super().data_received(data)
+        if not self.due:
+            return self.transport is None or self.transport.abort()
+        while data and self.due:
+            data = self._read_head(data) if self.left is None else self._read_body(data)
+        # Once an answer has begun the rest comes without a pause: else it has lost its end.
+        self.read_timeout = self.limits.answer if self.due and (self.head or self.left is not None) else None
+        self.start_timeout()
+        if self._exception is not None and self._payload is not None:
+            # The library tells those who read the body nothing of what cannot be read further on.
+            set_exception(self._payload, aiohttp.ClientPayloadError("unreadable"))
+        if not self.due and data:
+            self.force_close()
+
+    def _read_head(self, data):
+        self.head += data
+        end = self.head.find(b"\r\n\r\n") + 4
+        if end < 4:
+            if len(self.head) > self.limits.answer_head or self.head[:7] != b"HTTP/1."[:len(self.head)]:
+                self.due = False
+                super().data_received(b"\0")     # no head: the library fails the dispatch and closes
+            return b""
+        head, data, self.head = self.head[:end], self.head[end:], b""
+        super().data_received(head)
+        lengths = LENGTH.findall(head)
+        if not EARLY.match(head):
+            told = len(lengths) == 1 and not CODED.search(head)
+            self.left = int(lengths[0]) if told else float("inf")
+            self.due = self.left > 0 and self._exception is None
+        return data
+
+    def _read_body(self, data):
+        piece = data if self.left >= len(data) else data[:self.left]
+        super().data_received(piece)
+        self.left -= len(piece)
+        self.due = self.left > 0 and self._exception is None
+        return data[len(piece):]
+
+    def clean(self):
+        """Nothing came on it, not even its end, that was not read."""
+        waiting = select.poll()
+        waiting.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not waiting.poll(0)
+
+
+class Names(AbstractResolver):
+    """Each worker is a host of its own: one that comes to the address of another shares no connection."""
+
+    def __init__(self, most):
+        self.hosts, self.addresses, self.most, self.number = {}, {}, most, 0
+
+    def host(self, worker, address):
+        host = self.hosts.get((worker, address))
+        if host is None:
+            if len(self.hosts) >= self.most:
+                del self.addresses[self.hosts.pop(next(iter(self.hosts)))]
+            self.number += 1
+            host = self.hosts[worker, address] = f"worker-{self.number}"
+            self.addresses[host] = address.rpartition(":")[0]
+        return host
+
+    async def resolve(self, host, port=0, family=socket.AF_INET):
+        return [{"hostname": host, "host": self.addresses[host], "port": port, "family": family, "proto": 0,
+                 "flags": socket.AI_NUMERICHOST}]
+
+    async def close(self):
+        pass
+
+
+class Connector(aiohttp.TCPConnector):
+    """Counts the descriptors it has open; gives out no connection on which something waits unread."""
+
+    def __init__(self, limits):
+        self.names, self.open = Names(limits.workers_known), 0
+        super().__init__(
+            limit=0, socket_factory=self._socket, keepalive_timeout=limits.worker_idle, ssl=False,
+            family=socket.AF_INET, happy_eyeballs_delay=None, resolver=self.names, use_dns_cache=False)
+        self._factory = lambda: Answers(self._loop, limits)      # the library has no other way to name it
+
+    def _socket(self, info):
+        made = Socket(*info[:3])
+        made.owner, self.open = self, self.open + 1
+        return made
+
+    async def connect(self, *told, **named):
+        while True:
+            connection = await super().connect(*told, **named)
+            if connection.protocol.clean():
+                return connection
+            connection.close()
--- a/fernyard/workers/pool.py
+++ b/fernyard/workers/pool.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import socket
 from dataclasses import dataclass
 
 import aiohttp
@@ -10,6 +9,7 @@
 from yarl import URL
 
 from ..interface import End
+from .connections import Connector
 
 log = logging.getLogger(__name__)
 
@@ -45,42 +45,24 @@
         raise Broken(str(why)) from None
 
 
-class Socket(socket.socket):
-    """Tells its pool when it is closed, so that the descriptors in use are known."""
-
-    pool = None
-
-    def close(self):
-        if self.pool is not None:
-            self.pool.open -= 1
-            self.pool = None
-        super().close()
-
-
 class WorkerPool:
     def __init__(self, limits, report):
-        self.limits, self.report, self.out, self.open = limits, report, {}, 0
-        self.session = None
+        self.limits, self.report, self.out = limits, report, {}
+        self.connector = self.session = None
 
     def start(self):
-        connector = aiohttp.TCPConnector(
-            limit=0, socket_factory=self._socket, keepalive_timeout=self.limits.worker_idle, ssl=False,
-            family=socket.AF_INET, happy_eyeballs_delay=None)
+        self.connector = Connector(self.limits)
         self.session = aiohttp.ClientSession(
-            connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False,
+            connector=self.connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=self.limits.connect), middlewares=(_once,),
+            max_line_size=self.limits.answer_head, max_field_size=self.limits.answer_head,
             skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent", "Content-Type"))
 
-    def _socket(self, info):
-        made = Socket(*info[:3])
-        made.pool, self.open = self, self.open + 1
-        return made
-
     def send(self, number, dispatch, worker, address, req, limit):
         """Writes `req` to the worker at `address` and reports one Outcome, after `limit` at the latest."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        task = loop.create_task(self._dispatch(number, dispatch, address, req, limit))
+        task = loop.create_task(self._dispatch(number, dispatch, worker, address, req, limit))
         timer = loop.call_later(limit / 10_000, self._late, number, dispatch)
         self.out[number, dispatch] = (task, timer, worker, began)
 
@@ -104,14 +86,16 @@
         self.report(Outcome(number, dispatch, worker, end, took, body, headers))
         return task
 
-    async def _dispatch(self, number, dispatch, address, req, limit):
+    async def _dispatch(self, number, dispatch, worker, address, req, limit):
         headers = CIMultiDict(req.headers)
+        headers["Host"] = address
+        authority = f"{self.connector.names.host(worker, address)}:{address.rpartition(':')[2]}"
         headers["X-Time-Left"] = f"{limit / 10_000:.4f}"
-        if self.open >= self.limits.workers:
+        if self.connector.open >= self.limits.workers:
             headers["Connection"] = "close"
         try:
             async with self.session.request(
-                    req.method, URL.build(scheme="http", authority=address, path=req.path, encoded=True),
+                    req.method, URL.build(scheme="http", authority=authority, path=req.path, encoded=True),
                     headers=headers, data=req.body or None, allow_redirects=False) as answer:
                 body = await self._body(answer)
                 if body is None:
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 from fernyard import interface as i
 from fernyard.clients import Taken
@@ -23,11 +24,11 @@
         self.addAsyncCleanup(pool.close)
         return pool
 
-    async def dispatch(self, pool, port, method="GET", limit=5000):
+    async def dispatch(self, pool, port, method="GET", limit=5000, worker="s-1"):
         number = len(self.events) + 1
         body = b"" if method == "GET" else b"body"
         req = Taken(number, method, f"/look%20up/{CUSTOMER}", [], body, 0, 0, 5, 9, 1, 1)
-        pool.send(number, 0, "s-1", f"{HOST}:{port}", req, limit)
+        pool.send(number, 0, worker, f"{HOST}:{port}", req, limit)
         await self.until(lambda: len(self.events) == number)
         return self.events[-1].end
 
@@ -47,6 +48,57 @@
             self.lines.append(f"{words}: {end.value}; sent {len(worker.messages)} time")
         self.kept("dispatch_ends")
 
+    async def test_no_answer_but_the_one_made_for_the_req_is_passed(self):
+        # A copy behind an answer was passed as the next req's; noise behind one spoilt it; one that lost its
+        # end held its req for all the time it had.
+        head, tail = PASSED.split(b"\r\n\r\n")
+        length = head.replace(b"5", b"%d")
+        cases = (("a copy behind, later", [PASSED, PASSED.replace(b"books", b"BOOKS")]),
+                 ("a copy behind, at once", [PASSED * 2]), ("noise behind, at once", [PASSED + b"\0\xff\r\n\r\n"]),
+                 ("noise behind, later", [PASSED, b"\0\xff"]), ("noise", [b"\xff\0 noise"]),
+                 ("early answers before", [b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n", PASSED]),
+                 ("a load report that is none", [answer(200, "X-Backend-Load: {\xff,=\r\n", b"books")]),
+                 ("a long one", [answer(200, f"X-Backend-Load: {'x' * 9000}\r\n", b"books")]),
+                 ("half a head", [head]), ("half a body", [PASSED[:-2]]),
+                 ("an endless head", [head + b"\r\nX-Pad: ppp" * 3000]),
+                 ("two lengths", [head.replace(b"Content-Length", b"Content-Length: 3\r\nContent-Length") +
+                                  b"\r\n\r\n" + tail]),
+                 ("3 GB", [length % 3_000_000_000 + b"\r\n\r\n" + b"x" * 70_000]),
+                 ("broken chunks", [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbooks\r\n", b"?"]))
+        for words, pieces in cases:
+            async def spoilt(message, pieces=pieces):
+                if len(worker.messages) > 1:
+                    return PASSED
+                for piece in pieces:
+                    worker.writers[0].write(piece)
+                    await asyncio.sleep(0.02)
+            worker, pool = await self.stand_in(spoilt), await self.pool(answer=0.1)
+            ends = []
+            for _ in range(2):
+                ends.append((await self.dispatch(pool, worker.port)).value)
+                body = self.events[-1].body
+                ends[-1] += f" {body.decode()}" * bool(body)
+                await asyncio.sleep(0.03)
+            self.assertLess(self.events[-2].took, 3000)
+            self.lines.append(f"{words}: {ends[0]}; then {ends[1]} on connection {worker.connections}")
+        self.kept("spoilt_answers")
+
+    async def test_a_worker_at_the_address_of_another_gets_a_connection_of_its_own(self):
+        # A connection left from the one before may be dead, or still be answered by it.
+        worker, pool = await self.stand_in(lambda message: PASSED), await self.pool(workers_known=1)
+        for name in ("s-1", "s-1", "s-2", "s-2"):
+            await self.dispatch(pool, worker.port, worker=name)
+        self.assertEqual((worker.connections, len(pool.connector.names.addresses)), (2, 1))
+
+    async def test_a_connection_whose_end_was_not_read_yet_is_not_used(self):
+        worker, pool = await self.stand_in(lambda message: PASSED), await self.pool()
+        await self.dispatch(pool, worker.port)
+        for writer in worker.writers:
+            writer.write(b"noise")
+        time.sleep(0.02)               # our loop has not heard of it
+        self.assertIs(await self.dispatch(pool, worker.port), i.End.PASSED)
+        self.assertEqual(worker.connections, 2)
+
     async def test_never_up_never_ran(self):
         pool = await self.pool(connect=0.05)
         closed = await self.stand_in(None)
@@ -77,7 +129,7 @@
         pool = await self.pool()
         self.assertIs(await self.dispatch(pool, worker.port, limit=300), i.End.TIMEOUT)
         self.assertTrue(300 <= self.events[0].took < 5000, self.events)
-        await self.until(lambda: worker.server.sockets and pool.open == 0)
+        await self.until(lambda: worker.server.sockets and pool.connector.open == 0)
         pool.send(9, 0, "s-1", f"{HOST}:{worker.port}", Taken(9, "GET", "/", [], b"", 0, 0, 5, 9, 1, 1),
                   9000)
         await self.until(lambda: len(worker.messages) == 2)
@@ -101,7 +153,7 @@
         pool = await self.pool(workers=0)
         for _ in range(3):
             await self.dispatch(pool, worker.port)
-        await self.until(lambda: pool.open == 0)
+        await self.until(lambda: pool.connector.open == 0)
         self.assertEqual(worker.connections, 3)
 
 
@@ -175,10 +227,11 @@
 
     async def test_nonsense_breaks_no_more_than_its_connection(self):
         # A call whose answer was no number was left to time out; a total that is none spoilt the estimate.
-        answers = iter((b"?\r\n", b"$1\r\nx\r\n", b"*1\r\n:1\r\n", b":5\r\n:6\r\n", b"$3\r\nnan\r\n",
+        # Part of an answer took those of the next calls for its rest.
+        answers = iter((b"?\r\n", b"-NO\r\n", b"$9\r\n1", b"$1\r\n", b"$1\r\nx\r\n", b"*1\r\n:1\r\n", b":5\r\n:6\r\n", b"$3\r\nnan\r\n",
                         b"$1\r\n7\r\n"))
         counter = await self.counter(lambda message: next(answers))
-        for name in range(11, 17):
+        for name in range(11, 20):
             counter.call(name, 1, 40_000)
             await self.told(name)
             await asyncio.sleep(0.12)
