Only a sixth of the descriptors stand unused with clients; none is closed before its answer is written

Logged every connection taken in, lost and closed to make room: from the third second on 125 connections stand unused, most after one req, and are closed by the clients after 1 to 3 s; as many were let in again at once. Ruled out: silent connections (all 5014 that made room had sent nothing and stood for a second), quota, ceiling, line. At fault: client_idle of 4 s was the only end of an unused connection below 192 (connections.py, _make_room and _sweep).

The longest unused is closed as soon as a sixth of the descriptors stand so. A connection counts as unused once its answer is written, not when it is made: else a crowd could close one that holds its answer.

--- a/fernyard/clients/connections.py
+++ b/fernyard/clients/connections.py
@@ -1,4 +1,4 @@
-"""The connections of clients: how many there may be, how long one may take over a req, and which makes room."""
+"""The connections of clients: how many there may be, how long one may take over a req, which makes room."""
 
 import asyncio
 import errno
@@ -6,6 +6,7 @@
 from collections import OrderedDict
 
 from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_response import Response
 from aiohttp.web_server import Server
 
 AT_ONCE = 16                # taken in between two looks at what else is to be done
@@ -27,13 +28,28 @@
 
     def drop(self):
         if self.transport is not None:
-            self.transport.abort()
+            self.transport.close()
+
+
+class Written(Response):
+    """Tells when it was written: until then its connection is not to be closed."""
+
+    def __init__(self, told, **named):
+        super().__init__(**named)
+        self.told = told
+
+    async def write_eof(self, *data):
+        try:
+            await super().write_eof(*data)
+        finally:
+            self.told()
 
 
 class Connections(Server):
-    """Takes connections in. Those with no req in hand make room for new ones: first the oldest that never sent
-    a whole req, then the longest unused. Harms a client whose first req takes longer than `first_room` to come
-    while hundreds connect and say nothing."""
+    """Takes connections in. Those with no req in hand make room for new ones: first the oldest that never
+    sent a whole req, then the longest unused. Clients that ask once and keep their connection would soon
+    have all that clients may have, so only so many stand unused. Harms a client whose first req takes longer
+    than `first_room` to come while hundreds connect and say nothing."""
 
     def __init__(self, handle, request_factory, limits, counts):
         super().__init__(
@@ -104,8 +120,8 @@
 
     def _sweep(self):
         """Closes those that took too long over a req, or had none for long."""
-        now = self.loop.time()
-        for connections, longest in ((self.fresh, self.limits.whole_req), (self.unused, self.limits.client_idle)):
+        now, limits = self.loop.time(), self.limits
+        for connections, longest in ((self.fresh, limits.whole_req), (self.unused, limits.client_idle)):
             while connections and now - (first := next(iter(connections))).since > longest:
                 self.counts.add("overlong" if connections is self.fresh else "idle")
                 del connections[first]
@@ -133,10 +149,13 @@
         self.unused.pop(connection, None)
 
     def ended(self, connection):
-        """Its req was answered."""
+        """Its req was answered, to the last byte."""
         connection.busy, connection.since = False, self.loop.time()
         if connection.transport is not None:
             self.unused[connection] = None
+            if len(self.unused) > self.limits.clients_unused:
+                self.counts.add("too_many_unused")
+                self.unused.popitem(last=False)[0].drop()
 
     def drop_unused(self):
         for connection in (*self.fresh, *self.unused):
--- a/fernyard/clients/read.py
+++ b/fernyard/clients/read.py
@@ -72,7 +72,8 @@
         if any(len(headers.getall(name, ())) > 1 for name in ONCE):
             raise Malformed(400, "told_twice")
         coded, length = headers.get("Transfer-Encoding"), headers.get("Content-Length", "0")
-        if coded is not None and ("Content-Length" in headers or coded.lower() != "chunked" or method == "GET"):
+        if coded is not None and (
+                "Content-Length" in headers or coded.lower() != "chunked" or method == "GET"):
             raise Malformed(400, "framing")
         if not WHOLE.fullmatch(length) or method == "GET" and int(length):
             raise Malformed(400, "framing")
--- a/fernyard/clients/server.py
+++ b/fernyard/clients/server.py
@@ -9,10 +9,9 @@
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
 from aiohttp.web_protocol import RequestPayloadError
 from aiohttp.web_request import BaseRequest
-from aiohttp.web_response import Response
 from multidict import CIMultiDict
 
-from .connections import Connections
+from .connections import Connections, Written
 from .read import ID, Malformed, Reader, passed_on
 
 log = logging.getLogger(__name__)
@@ -117,13 +116,12 @@
         self.connections.begun(connection)
         self.report(Taken(number, request.method, path, passed_on(request.raw_headers), body, *told))
         try:
-            response = self._response(*await waiting)
+            response = self._response(*await waiting, written=lambda: self.connections.ended(connection))
         except asyncio.CancelledError:
             self.report(Gone(number))
             raise
         finally:
             self.waiting.pop(number, None)
-            self.connections.ended(connection)
         if connection.behind:
             response.force_close()
         return response
@@ -143,11 +141,11 @@
         response.force_close()
         return response
 
-    def _response(self, status, body=b"", headers=(), return_in=0):
+    def _response(self, status, body=b"", headers=(), return_in=0, written=lambda: None):
         told = CIMultiDict(passed_on(headers)) if headers else None
         if return_in:
             told = {"Retry-After": f"{return_in / 10_000:.4f}"}
-        response = Response(status=status, body=body, headers=told)
+        response = Written(written, status=status, body=body, headers=told)
         if self.stopping:
             response.force_close()
         return response
--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -19,11 +19,11 @@
 # The quota: bucket length and limit in bursts, and how long a name is kept on the counter.
 BUCKET_BURSTS, LIMIT_BURSTS = 1.25, 1.35
 SHORTEST_BUCKET, LONGEST_BUCKET, LONGEST_KEEP = SECOND // 2, 18 * SECOND, 60 * SECOND
-# The counter: calls failed in a row until none is waited for; the least part of the wanted calls that is made,
-# and what an answer, a slow one and a failed call make of that part; below which part takes-back wait and no
-# previous bucket is read, and below which ends of dispatches are called only as it allows; the share of the
-# time-out beyond the quickest answer (far is not crowded) that makes one slow, and how soon the quickest is
-# forgotten; calls that may be made ahead of their credit.
+# The counter: calls failed in a row until none is waited for; the least part of the wanted calls that is
+# made, and what an answer, a slow one and a failed call make of that part; below which part takes-back wait
+# and no previous bucket is read, and below which ends of dispatches are called only as it allows; the share
+# of the time-out beyond the least time of a call (far is not crowded) that makes one slow, and how soon the
+# least is forgotten; calls that may be made ahead of their credit.
 BLIND_AFTER, LEAST_PART, RAISE, SLOW_CUT, FAIL_CUT = 3, 0.03, 1.08, 0.9, 0.7
 CROWDED, CALLED_OFF, SLOW_CALL, FORGET, AHEAD = 0.9, 0.5, 0.3, 0.002, 3.0
 # Without an answer: what a total teaches of the part that comes through here, our share of the limit in such
@@ -92,8 +92,7 @@
         if bucket == self.bucket:
             self.total = max(total, self.own)
             if total > units > 0:
-                # The part of the customer's traffic that comes through here, beside the req that asks:
-                # learned from totals told alone, else unasked reqs would make it look like all of it.
+                # Our part of the customer's traffic, beside the req that asks: from totals told alone.
                 part = min(1.0, max(0.0, self.own - units) / (total - units))
                 self.share += LEARN * (part - self.share)
         elif bucket == self.bucket - 1:
@@ -272,8 +271,8 @@
             if self.silent >= BLIND_AFTER:
                 self.part = max(self.part, self.part_then)
             self.silent = 0
-            self.quickest = min(told.took, self.quickest + FORGET * (told.took - self.quickest))
-            slow = told.took - self.quickest > SLOW_CALL * (self.set.count_timeout - self.quickest)
+            self.least = min(told.took, self.least + FORGET * (told.took - self.least))
+            slow = told.took - self.least > SLOW_CALL * (self.set.count_timeout - self.least)
             self.part = self.part * SLOW_CUT if slow else min(1.0, self.part * RAISE)
             total = told.total + self.owed.get(told.name, 0.0) + sum(c[3] for c in pending)
             tally.told(bucket, total, units)
@@ -485,12 +484,11 @@
 
     def _launched(self, told):
         self.set, self.random, self.launched = told.settings, Random(told.seed), self.now
-        self.quickest = self.set.count_timeout
         self.workers, self.customers, self.reqs, self.line = {}, {}, {}, []
         self.ready, self.benched, self.pace = [], set(), Mean(PACE_TAU, self.now)
         self.calls, self.owed, self.silent, self.part, self.part_then, self.credit = {}, {}, 0, 1.0, 1.0, 1.0
         self.usual = [Mean(WORK_TAU, self.now, GUESS * f.target, GUESS_WEIGHT) for f in self.set.frontends]
-        self.wakes, self.token, self.arrived, self.all_out = {}, 0, 0, 0
+        self.wakes, self.token, self.arrived, self.all_out, self.least = {}, 0, 0, 0, self.set.count_timeout
         self.fill, self.chance, self.drawn_until, self.woken = FIRST_PLACES / self.set.gatekeepers, 0.0, 0, 0
         if self.set.must_follow:
             self.orders.append(Follow(True))
--- a/fernyard/discovery/watch.py
+++ b/fernyard/discovery/watch.py
@@ -68,7 +68,8 @@
         if version is not None:
             wait, query = self.limits.watch, {"since": version, "timeout_ms": int(self.limits.watch * 1000)}
         async with asyncio.timeout(wait + self.limits.watch_grace):
-            async with self.session.get(f"http://{address}/v1/servers", params=query, allow_redirects=False) as answer:
+            url = f"http://{address}/v1/servers"
+            async with self.session.get(url, params=query, allow_redirects=False) as answer:
                 if answer.status != 200:
                     raise ValueError(f"status {answer.status}")
                 version, whole, machines, addresses = self.machines.read(json.loads(await answer.read()))
--- a/fernyard/settings/limits.py
+++ b/fernyard/settings/limits.py
@@ -9,6 +9,7 @@
 
     body: int                  # bytes of a req or an answer
     clients: int               # client connections, past which idle ones are closed
+    clients_unused: int        # of those that were used and now are not; past that the longest unused goes
     workers: int               # worker connections, past which none is kept idle
     workers_known: int         # workers that connections may belong to
     answer: float              # a pause within an answer, past which it has lost its end
@@ -44,7 +45,8 @@
         longest = max((c["hardLimitMs"] for c in settings.get("classes", ())), default=30_000)
         sockets = min(1024, int(told.get("sockets", 1024)))
         return cls(
-            body=64 * 1024, clients=sockets // 2, workers=sockets // 4, workers_known=4096, answer=0.15, answer_head=16 * 1024,
+            body=64 * 1024, clients=sockets // 2, clients_unused=sockets // 6, workers=sockets // 4,
+            workers_known=4096, answer=0.15, answer_head=16 * 1024,
             counters=min(4, max(1, sockets // 64)), backlog=512, line=4096, lines=64, ids=2048,
             units=extra.get("maxUnits") or 1e6, client_idle=4.0, whole_req=2.0, first_room=0.1, sweep=0.25,
             worker_idle=min(60.0, 0.45 * allowed.get("connIdleMs", 15_000) / 1000),
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -132,7 +132,8 @@
 SETTINGS = {
     "allowed": {"mostTries": 3, "connIdleMs": 2000.0, "connectTimeoutMs": 100.0, "retryAfter": True,
                 "maxRetryAfterMs": 500.0},
-    "balancers": 1, "zones": ["here"], "zone": 0, "extra": {"mayCount": True, "maxUnits": 9, "counterTimeoutMs": 60.0},
+    "balancers": 1, "zones": ["here"], "zone": 0,
+    "extra": {"mayCount": True, "maxUnits": 9, "counterTimeoutMs": 60.0},
     "classes": [{"name": "look up", "aimMs": 1000.0, "hardLimitMs": 3000.0, "semantics": "free"},
                 {"name": "keep", "aimMs": 1000.0, "hardLimitMs": 3000.0, "semantics": "guarded",
                  "keyScope": "cell", "repeatWindowMs": 800.0}],
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -141,8 +141,18 @@
         self.lines.append(f"open: {node.clients.connections.open}")
         self.kept("idle_first")
 
+    async def test_clients_that_ask_once_and_stay_leave_connections_to_others(self):
+        # They held all that clients may have, and six reqs in ten found no connection. None is closed before
+        # its answer is written.
+        worker = await self.stand_in(lambda message: PASSED)
+        for most in (2, 0):
+            node = await self.gatekeeper(worker, limits={"clients_unused": most})
+            for _ in range(5):
+                self.assertEqual((await self.ask(node, request()))[0], 200)
+            await self.until(lambda: node.clients.connections.open == most)
+
     async def test_what_is_no_whole_req_in_time_ends(self):
-        # Connections that said nothing, half a head or half a body stood for two minutes and held descriptors.
+        # Connections that said nothing, half a head or half a body stood for two minutes each.
         node = await self.gatekeeper(limits={"whole_req": 0.15, "client_idle": 0.3, "sweep": 0.02})
         whole = request(f"/keep/{CUSTOMER}", "POST", b"body", Idempotency_Key="K")
         for words, sent in (("nothing", b""), ("half a head", whole[:40]), ("half a body", whole[:-2]),
@@ -288,8 +298,8 @@
             return PASSED.replace(b"5", b"%d" % len(body)).replace(b"books", body)
         workers = [await self.stand_in(lambda message: PASSED) for _ in range(2)]
         counters = [await self.stand_in(slow, read=read_call) for _ in range(2)]
-        lists = [await self.stand_in(lambda message, entry=entry(f"s-{n}", worker.port): (
-            asyncio.sleep(9) if "since" in message[0] else listed(entry))) for n, worker in enumerate(workers)]
+        lists = [await self.stand_in(lambda message, told=listed(entry(f"s-{n}", worker.port)): (
+            asyncio.sleep(9) if "since" in message[0] else told)) for n, worker in enumerate(workers)]
         port = (await self.stand_in(None)).port
         self.opened.pop().server.close()
         program = await self.start(configuration(
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -54,7 +54,8 @@
         head, tail = PASSED.split(b"\r\n\r\n")
         length = head.replace(b"5", b"%d")
         cases = (("a copy behind, later", [PASSED, PASSED.replace(b"books", b"BOOKS")]),
-                 ("a copy behind, at once", [PASSED * 2]), ("noise behind, at once", [PASSED + b"\0\xff\r\n\r\n"]),
+                 ("a copy behind, at once", [PASSED * 2]),
+                 ("noise behind, at once", [PASSED + b"\0\xff\r\n\r\n"]),
                  ("noise behind, later", [PASSED, b"\0\xff"]), ("noise", [b"\xff\0 noise"]),
                  ("early answers before", [b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n", PASSED]),
                  ("a load report that is none", [answer(200, "X-Backend-Load: {\xff,=\r\n", b"books")]),
@@ -64,7 +65,8 @@
                  ("two lengths", [head.replace(b"Content-Length", b"Content-Length: 3\r\nContent-Length") +
                                   b"\r\n\r\n" + tail]),
                  ("3 GB", [length % 3_000_000_000 + b"\r\n\r\n" + b"x" * 70_000]),
-                 ("broken chunks", [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbooks\r\n", b"?"]))
+                 ("broken chunks", [
+                     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbooks\r\n", b"?"]))
         for words, pieces in cases:
             async def spoilt(message, pieces=pieces):
                 if len(worker.messages) > 1:
@@ -228,8 +230,8 @@
     async def test_nonsense_breaks_no_more_than_its_connection(self):
         # A call whose answer was no number was left to time out; a total that is none spoilt the estimate.
         # Part of an answer took those of the next calls for its rest.
-        answers = iter((b"?\r\n", b"-NO\r\n", b"$9\r\n1", b"$1\r\n", b"$1\r\nx\r\n", b"*1\r\n:1\r\n", b":5\r\n:6\r\n", b"$3\r\nnan\r\n",
-                        b"$1\r\n7\r\n"))
+        answers = iter((b"?\r\n", b"-NO\r\n", b"$9\r\n1", b"$1\r\n", b"$1\r\nx\r\n", b"*1\r\n:1\r\n",
+                        b":5\r\n:6\r\n", b"$3\r\nnan\r\n", b"$1\r\n7\r\n"))
         counter = await self.counter(lambda message: next(answers))
         for name in range(11, 20):
             counter.call(name, 1, 40_000)
