--- a/fernyard/settings/limits.py
+++ b/fernyard/settings/limits.py
@@ -7,7 +7,8 @@
 class Limits:
     """Times are in seconds. Descriptors are shared out: what is idle goes first, what is in use stays."""
 
-    body: int                  # bytes of a req or an answer
+    body: int                  # bytes of a req
+    answer_body: int           # bytes of an answer
     clients: int               # client connections, past which idle ones are closed
     clients_unused: int        # of those that were used and now are not; past that the longest unused goes
     workers: int               # worker connections, past which none is kept idle
@@ -43,9 +44,10 @@
         """From the machine's limits and the settings as the operators word them."""
         allowed, extra = settings.get("allowed", {}), settings.get("extra", {})
         longest = max((c["hardLimitMs"] for c in settings.get("classes", ())), default=30_000)
+        memory = min(64, int(told.get("memory_mb", 64)))
         sockets = min(1024, int(told.get("sockets", 1024)))
         return cls(
-            body=64 * 1024, clients=sockets // 2, clients_unused=sockets // 6, workers=sockets // 4,
+            body=64 * 1024, answer_body=memory * 16 * 1024, clients=sockets // 2, clients_unused=sockets // 6, workers=sockets // 4,
             workers_known=4096, answer=0.15, answer_head=16 * 1024,
             counters=min(4, max(1, sockets // 64)), backlog=512, line=4096, lines=64, ids=2048,
             units=extra.get("maxUnits") or 1e6, client_idle=4.0, whole_req=2.0, first_room=0.1, sweep=0.25,
--- a/fernyard/workers/pool.py
+++ b/fernyard/workers/pool.py
@@ -120,13 +120,13 @@
 
     async def _body(self, answer):
         """The whole body, or nothing where it is longer than may be: its connection is closed."""
-        if (answer.content_length or 0) <= self.limits.body:
+        if (answer.content_length or 0) <= self.limits.answer_body:
             chunks, size = [], 0
             while not answer.content.at_eof():
                 chunk = await answer.content.readany()
                 chunks.append(chunk)
                 size += len(chunk)
-                if size > self.limits.body:
+                if size > self.limits.answer_body:
                     break
             else:
                 return chunks[0] if len(chunks) == 1 else b"".join(chunks)
