--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -257,10 +257,19 @@
             file.write(told if isinstance(told, str) else json.dumps(told))
         self.addCleanup(os.unlink, file.name)
         self.file = file.name
-        return await asyncio.create_subprocess_exec(
+        program = await asyncio.create_subprocess_exec(
             sys.executable, "-B", "-m", "fernyard", *(arguments or ("serve",)),
             stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
             env={**os.environ, "EDGE_CONFIG": file.name})
+        self.addAsyncCleanup(self.stop, program)
+        return program
+
+    @staticmethod
+    async def stop(program):
+        """A test that failed leaves none running."""
+        if program.returncode is None:
+            program.kill()
+            await program.communicate()
 
     async def test_a_planned_end_answers_all_that_was_taken(self):
         async def slow(message):
