--- a/fernyard/clients/connections.py
+++ b/fernyard/clients/connections.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import errno
-import select
 import socket
 from collections import OrderedDict
 from itertools import islice
@@ -11,6 +10,8 @@
 from aiohttp.web_response import Response
 from aiohttp.web_server import Server
 
+from ..sockets import unread
+
 AT_ONCE = 16                # taken in between two looks at what else is to be done
 LOOKED_AT = 8               # for one to close
 NEVER = 10.0 ** 6           # the library's own timer; ours bounds more
@@ -33,11 +34,7 @@
 
     def silent(self):
         """Nothing was sent that is not read yet."""
-        if self.transport is None or self.transport.is_closing():
-            return True
-        waiting = select.poll()
-        waiting.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not waiting.poll(0)
+        return self.transport is None or self.transport.is_closing() or not unread(self.transport)
 
     def drop(self):
         if self.transport is not None:
@@ -71,7 +68,7 @@
             max_field_size=limits.line, max_headers=limits.lines)
         self.limits, self.counts, self.loop = limits, counts, asyncio.get_running_loop()
         # Those that sent nothing yet, nothing since their last answer, part of a req; each the longest first.
-        self.fresh, self.unused, self.begin, self.open = OrderedDict(), OrderedDict(), OrderedDict(), 0
+        self.fresh, self.unused, self.partial, self.open = OrderedDict(), OrderedDict(), OrderedDict(), 0
         self.listener, self.taking, self.sweeper = None, False, None
 
     def listen(self, host, port):
@@ -112,9 +109,9 @@
                 return self._wait()
             made.setblocking(False)
             self.open += 1
-            self.loop.create_task(self._begin(made))
+            self.loop.create_task(self._set_up(made))
 
-    async def _begin(self, made):
+    async def _set_up(self, made):
         try:
             await self.loop.connect_accepted_socket(self, made)
         except OSError:
@@ -122,10 +119,9 @@
             made.close()
 
     def _make_room(self):
-        return (self._drop_first(self.fresh, self.limits.first_room, "made_room")
-                or self._drop_first(self.unused, 0.0, "made_room")
-                or self._drop_first(self.fresh, 0.0, "made_room")
-                or self._drop_first(self.begin, self.limits.first_room, "made_room"))
+        age = self.limits.first_room
+        order = (self.fresh, age), (self.unused, 0.0), (self.fresh, 0.0), (self.partial, age)
+        return any(self._drop_first(connections, age, "made_room") for connections, age in order)
 
     def _drop_first(self, connections, age, why):
         """Closes the longest of them if it is of that age; one on which a req waits to be read stays."""
@@ -133,7 +129,7 @@
         for connection in islice(connections, LOOKED_AT):
             if now - connection.since < age:
                 return False
-            if connections is self.begin or connection.silent():
+            if connections is self.partial or connection.silent():
                 self.counts.add(why)
                 del connections[connection]
                 connection.drop()
@@ -142,20 +138,19 @@
 
     def _sweep(self):
         """Closes those that took too long over a req, or had none for long."""
-        while self._drop_first(self.fresh, self.limits.whole_req, "silent"):
-            pass
-        while self._drop_first(self.begin, self.limits.whole_req, "overlong"):
-            pass
-        while self._drop_first(self.unused, self.limits.client_idle, "idle"):
-            pass
+        limits = self.limits
+        for connections, longest, why in (
+                (self.fresh, limits.whole_req, "silent"), (self.partial, limits.whole_req, "overlong"),
+                (self.unused, limits.client_idle, "idle")):
+            while self._drop_first(connections, longest, why):
+                pass
         self._take()
         self.sweeper = self.loop.call_later(self.limits.sweep, self._sweep)
 
     def connection_made(self, connection, transport):
         connection.busy = connection.behind = False
         super().connection_made(connection, transport)
-        connection.since = self.loop.time()
-        self.fresh[connection] = None
+        self._put(connection, self.fresh)
 
     def connection_lost(self, connection, why=None):
         super().connection_lost(connection, why)
@@ -164,14 +159,18 @@
         self._take()
 
     def _forget(self, connection):
-        for connections in (self.fresh, self.unused, self.begin):
+        for connections in (self.fresh, self.unused, self.partial):
             connections.pop(connection, None)
 
+    def _put(self, connection, connections):
+        """From now on it is the newest of these, and none of the others."""
+        self._forget(connection)
+        connection.since = self.loop.time()
+        connections[connection] = None
+
     def reading(self, connection):
-        if connection not in self.begin:
-            self._forget(connection)
-            connection.since = self.loop.time()
-            self.begin[connection] = None
+        if connection not in self.partial:
+            self._put(connection, self.partial)
 
     def begun(self, connection):
         """A whole req came in on it."""
@@ -180,10 +179,9 @@
 
     def ended(self, connection):
         """Its req was answered, to the last byte."""
-        self._forget(connection)
-        connection.busy, connection.since = False, self.loop.time()
+        connection.busy = False
         if connection.transport is not None:
-            self.unused[connection] = None
+            self._put(connection, self.unused)
             if len(self.unused) > self.limits.clients_unused:
                 self._drop_first(self.unused, 0.0, "too_many_unused")
 
--- a/fernyard/counter/links.py
+++ b/fernyard/counter/links.py
@@ -102,8 +102,9 @@
             self.held.append(call)
             self.open()
 
-    def awaits(self, name):
-        return any(call.name == name and call.timer is not None for call in self.sent)
+    def awaits(self, name=None):
+        """A call out, of that name if one is given, can still be answered in time."""
+        return any(call.timer is not None and name in (None, call.name) for call in self.sent)
 
     def retire(self):
         """Takes no new calls; ends when none that is out can be answered in time any more."""
@@ -114,7 +115,7 @@
         self._end_retired()
 
     def _end_retired(self):
-        if self.retired and not any(call.timer is not None for call in self.sent):
+        if self.retired and not self.awaits():
             self.close()
 
     def _late(self, call):
@@ -182,9 +183,10 @@
     @staticmethod
     def _read(answer):
         if isinstance(answer, hiredis.ReplyError):
-            if str(answer).split(" ")[0] not in REFUSALS:
+            end = REFUSALS.get(str(answer).partition(" ")[0])
+            if end is None:
                 raise ValueError(answer)
-            return (REFUSALS[str(answer).split(" ")[0]],)
+            return (end,)
         total = float(answer)
         if not math.isfinite(total):
             raise ValueError(answer)
@@ -194,12 +196,13 @@
         self.transport = None
         while self.sent:
             self.over(self.sent.popleft(), End.RESET)
+        soon = asyncio.get_running_loop().time() - self.made < self.limits.counter_pause
         if self.closed or self.retired:
             self.closed = True
-        elif self.hasty and asyncio.get_running_loop().time() - self.made < self.limits.counter_pause:
+        elif soon and self.hasty:
             self._wait()
         else:
-            self.hasty = asyncio.get_running_loop().time() - self.made < self.limits.counter_pause
+            self.hasty = soon
             self.open()
 
     def close(self):
--- a/fernyard/node/reducer.py
+++ b/fernyard/node/reducer.py
@@ -13,8 +13,8 @@
 from ..counter import Total
 from ..decide import Gatekeeper
 from ..discovery import Told
-from ..workers import Outcome
 from ..settings import Config
+from ..workers import Outcome
 from .effects import Answer, Call, CloseIdle, Finish, GiveUp, LastAnswers, Move, ReadConfig, Send
 
 log = logging.getLogger(__name__)
--- a/fernyard/settings/limits.py
+++ b/fernyard/settings/limits.py
@@ -22,8 +22,8 @@
     ids: int                   # of reqs taken last, which no other may have
     units: float               # that a req may take
     client_idle: float         # a client connection that stood idle so long is closed
-    whole_req: float           # a new client connection that has sent no whole req by then is closed
-    first_room: float          # one that has sent none for so long makes room first
+    whole_req: float           # a client connection new, or with part of a req, for so long is closed
+    first_room: float          # a new one that has sent nothing for so long makes room first
     sweep: float               # between two looks at what has stood too long
     worker_idle: float         # a worker connection that stood idle so long is not used again
     connect: float             # a connection not up by then never came up
--- a/fernyard/workers/connections.py
+++ b/fernyard/workers/connections.py
@@ -2,7 +2,6 @@
 further. What comes behind, or with no req out, is nobody's answer: its connection is not used again."""
 
 import re
-import select
 import socket
 
 import aiohttp
@@ -10,6 +9,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
 
+from ..sockets import unread
+
 LENGTH = re.compile(rb"\r\nContent-Length:[ \t]*([0-9]{1,15})[ \t]*(?=\r\n)", re.IGNORECASE)
 CODED = re.compile(rb"\r\nTransfer-Encoding:", re.IGNORECASE)
 EARLY = re.compile(rb"HTTP/1\.1 1(?!01)[0-9][0-9] ")         # more is to come, with no time told
@@ -94,28 +95,26 @@
         """Nothing came on it, not even its end, that was not read; and it stood idle for no longer than goes
         well."""
         self.span = self.idle.span(self._loop.time() - self.used) if self.used else 0
-        if self.span and self.idle.shuns(self.span):
-            return False
-        waiting = select.poll()
-        waiting.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not waiting.poll(0)
+        return not (self.span and self.idle.shuns(self.span)) and not unread(self.transport)
 
 
 class Names(AbstractResolver):
     """Each worker is a host of its own: one that comes to the address of another shares no connection."""
 
     def __init__(self, most):
-        self.hosts, self.addresses, self.most, self.number = {}, {}, most, 0
-
-    def host(self, worker, address):
-        host = self.hosts.get((worker, address))
-        if host is None:
-            if len(self.hosts) >= self.most:
-                del self.addresses[self.hosts.pop(next(iter(self.hosts)))]
+        self.known, self.addresses, self.most, self.number = {}, {}, most, 0
+
+    def authority(self, worker, address):
+        """The host and port that lead to `worker` at `address`."""
+        known = self.known.get((worker, address))
+        if known is None:
+            if len(self.known) >= self.most:
+                del self.addresses[self.known.pop(next(iter(self.known))).partition(":")[0]]
             self.number += 1
-            host = self.hosts[worker, address] = f"worker-{self.number}"
-            self.addresses[host] = address.rpartition(":")[0]
-        return host
+            host, (far, _, port) = f"worker-{self.number}", address.rpartition(":")
+            self.addresses[host] = far
+            known = self.known[worker, address] = f"{host}:{port}"
+        return known
 
     async def resolve(self, host, port=0, family=socket.AF_INET):
         return [{"hostname": host, "host": self.addresses[host], "port": port, "family": family, "proto": 0,
--- a/fernyard/workers/pool.py
+++ b/fernyard/workers/pool.py
@@ -89,7 +89,7 @@
     async def _dispatch(self, number, dispatch, worker, address, req, limit):
         headers = CIMultiDict(req.headers)
         headers["Host"] = address
-        authority = f"{self.connector.names.host(worker, address)}:{address.rpartition(':')[2]}"
+        authority = self.connector.names.authority(worker, address)
         headers["X-Time-Left"] = f"{limit / 10_000:.4f}"
         if self.connector.open >= self.limits.workers:
             headers["Connection"] = "close"
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -102,14 +102,18 @@
         self.assertEqual(await reader.readuntil(b"\r\n\r\n"), b"HTTP/1.1 100 Continue\r\n\r\n")
         self.assertEqual((await self.ask(node, b"body", (reader, writer)))[0], 200)
 
-    async def test_a_client_gone_is_told_and_its_dispatch_ends_by_itself(self):
-        # Such a req was held for ever once its dispatch passed.
+    async def worker_that_waits(self):
+        """A worker that passes what it has when the event is set."""
         free = asyncio.Event()
 
         async def later(message):
             await free.wait()
             return PASSED
-        worker = await self.stand_in(later)
+        return await self.stand_in(later), free
+
+    async def test_a_client_gone_is_told_and_its_dispatch_ends_by_itself(self):
+        # Such a req was held for ever once its dispatch passed.
+        worker, free = await self.worker_that_waits()
         node = await self.gatekeeper(worker)
         _, writer = await self.connect(node.port)
         writer.write(request())
@@ -178,12 +182,7 @@
         self.kept("no_whole_req")
 
     async def test_silent_connections_keep_no_client_out_and_no_req_in_hand_is_dropped(self):
-        free = asyncio.Event()
-
-        async def later(message):
-            await free.wait()
-            return PASSED
-        worker = await self.stand_in(later)
+        worker, free = await self.worker_that_waits()
         node = await self.gatekeeper(worker, limits={"clients": 3, "first_room": 0.0})
         held = [asyncio.create_task(self.ask(node, request(X_Time_Left="2"))) for _ in range(2)]
         await self.until(lambda: len(worker.messages) == 2)
@@ -264,6 +263,20 @@
         self.addAsyncCleanup(self.stop, program)
         return program
 
+    async def free_port(self):
+        port = (await self.stand_in(None)).port
+        self.opened.pop().server.close()
+        return port
+
+    async def listening(self, port):
+        """The first connection to the program, once it listens."""
+        self.port = port
+        while True:
+            try:
+                return await self.connect(port)
+            except OSError:
+                await asyncio.sleep(0.02)
+
     @staticmethod
     async def stop(program):
         """A test that failed leaves none running."""
@@ -276,20 +289,14 @@
             await asyncio.sleep(0.9)
             return PASSED
         worker, silent = await self.stand_in(slow), await self.stand_in(lambda message: None)
-        port = (await self.stand_in(None)).port
-        self.opened.pop().server.close()
+        port = await self.free_port()
         program = await self.start(configuration(listen=port, workers=[entry("s-1", worker.port)],
                                                  discovery=silent.port))
-        self.port, connections = port, []
-        while not connections:
-            try:
-                connections.append(await self.connect(port))
-            except OSError:
-                await asyncio.sleep(0.02)
+        connection = await self.listening(port)
         ready = b"GET /healthz HTTP/1.1\r\nHost: app\r\n\r\n"
-        self.lines.append(f"healthz: {(await self.ask(self, ready, connections[0]))[0]}")
+        self.lines.append(f"healthz: {(await self.ask(self, ready, connection))[0]}")
         idle = await self.connect(port)
-        held = asyncio.create_task(self.ask(self, request(X_Time_Left="2"), connections[0]))
+        held = asyncio.create_task(self.ask(self, request(X_Time_Left="2"), connection))
         await self.until(lambda: worker.messages)
         program.send_signal(signal.SIGUSR1)
         program.send_signal(signal.SIGTERM)
@@ -321,16 +328,10 @@
         counters = [await self.stand_in(slow, read=read_call) for _ in range(2)]
         lists = [await self.stand_in(lambda message, told=listed(entry(f"s-{n}", worker.port)): (
             asyncio.sleep(9) if "since" in message[0] else told)) for n, worker in enumerate(workers)]
-        port = (await self.stand_in(None)).port
-        self.opened.pop().server.close()
+        port = await self.free_port()
         program = await self.start(configuration(
             listen=port, counter=counters[0].port, discovery=lists[0].port))
-        self.port, connection = port, None
-        while not connection:
-            try:
-                connection = await self.connect(port)
-            except OSError:
-                await asyncio.sleep(0.02)
+        connection = await self.listening(port)
 
         async def asks(words):
             before = [len(far.messages) for far in workers + counters]
