Told totals keep the ceiling; only reqs none made sure of draw on the door's share

The share is 1/doors of rate and depth and fills from launch: at many doors it holds one or two reqs, and nothing for seconds after a mass restart. Lines at fault: the head of Gatekeeper._path. Change: a total the counter told is over all gatekeepers; what it lets in while the weighted estimate is at most half of the ceiling needs no share.

--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -16,8 +16,9 @@
 
 SECOND = 10_000
 COUNT, PLACE, OUTCOME = "count", "place", "outcome"   # what the path of a req waits for
-# The quota: bucket length and limit in bursts, and how long a name is kept on the counter.
-BUCKET_BURSTS, LIMIT_BURSTS = 1.25, 1.35
+# The quota: bucket length and limit in bursts; the part of a ceiling that told totals grant (a share of the
+# rest still holds a whole req); and how long a name is kept on the counter.
+BUCKET_BURSTS, LIMIT_BURSTS, TOLD_PART = 1.25, 1.35, 0.5
 SHORTEST_BUCKET, LONGEST_BUCKET, LONGEST_KEEP = SECOND // 2, 18 * SECOND, 60 * SECOND
 # The counter: calls failed in a row until none is waited for; the least part of the wanted calls that is
 # made, and what an answer, a slow one and a failed call make of that part; below which part takes-back wait
@@ -72,7 +73,7 @@
     def __init__(self, customer, by_open, length, limit):
         self.customer, self.by_open, self.length, self.limit = customer, by_open, length, limit
         self.share, self.bucket, self.total, self.own = 1.0 / customer.doors, -2, 0.0, 0.0
-        self.was, self.was_own, self.was_known = 0.0, 0.0, False
+        self.was, self.was_own, self.was_known, self.sure = 0.0, 0.0, False, 0.0
 
     def roll(self, now):
         bucket = now // self.length
@@ -132,11 +133,7 @@
 
     def _path(self, req):
         """The ordinary path of a req, top to bottom; it yields while it waits."""
-        customer = req.customer
-        if self._ceiling(customer) - customer.promised < req.units:
-            return self._deny(req)
-        req.promised = req.units
-        customer.promised += req.promised
+        customer, sure = req.customer, False
         for tally in customer.tallies:
             tally.roll(self.now)
             units = 1.0 if tally.by_open else req.units
@@ -148,11 +145,17 @@
                     self._call(0.0, req, tally, tally.bucket - 1)
                     yield COUNT
                 over = self._estimate(tally) > tally.limit
+                sure = sure or self._makes_sure(tally)
             else:
                 over = self._over_unasked(tally, units)
             req.over = max(req.over, self._estimate(tally) / tally.limit)
             if over:
                 return self._deny(req, self._return_in(tally, units))
+        if not sure:
+            if self._ceiling(customer) - customer.promised < req.units:
+                return self._deny(req)
+            req.promised = req.units
+            customer.promised += req.promised
         while True:
             worker = yield PLACE
             if worker is None:
@@ -291,15 +294,21 @@
 
     # The ceiling -------------------------------------------------------------------------------------------
 
+    def _makes_sure(self, tally):
+        """A told total keeps the ceiling for all: over all gatekeepers it lets in `sure` at once, as much a
+        bucket; a previous count not known is taken for that. Harms by one more `sure` when the counter has
+        just lost its counts, and by what waits in line all at once."""
+        was = tally.was if tally.was_known else max(tally.was, tally.sure)
+        return self._estimate(tally, was) <= tally.sure
+
     def _ceiling(self, customer):
-        """Our share of the customer's hard ceiling. It fills from launch, so that a restart never grants a
-        second depth, and asks nobody. Harms a customer that comes through one gatekeeper only."""
-        plan = self.set.plans[customer.plan]
-        if not plan.ceiling_rate:
+        """Our share of what told totals leave of the hard ceiling, for reqs none made sure of. It fills from
+        launch, so that a restart never grants a second depth. Harms a customer of one gatekeeper only."""
+        if not self.set.plans[customer.plan].ceiling_rate:
             return float("inf")
-        filled = (self.now - customer.store_at) * plan.ceiling_rate / customer.doors / SECOND
+        filled = (self.now - customer.store_at) * customer.refill
         customer.store_at = self.now
-        customer.store = min(plan.ceiling_depth / customer.doors, customer.store + filled)
+        customer.store = min(customer.depth, customer.store + filled)
         return customer.store
 
     # The line and the workers ------------------------------------------------------------------------------
@@ -515,10 +524,15 @@
             customer.id, customer.plan, customer.doors = told.customer, told.plan, told.doors
             customer.reqs, customer.tallies = 0, []
             customer.store, customer.store_at, customer.promised = 0.0, self.launched, 0.0
+            # True units told later give back what the ceiling has drawn: then totals make sure of nothing.
+            told = TOLD_PART if plan.rate and self.set.may_count and not self.set.settles else 0.0
+            customer.depth = (1 - told) * plan.ceiling_depth / customer.doors
+            customer.refill = (1 - told) * plan.ceiling_rate / customer.doors / SECOND
             if plan.rate:
                 length = int(BUCKET_BURSTS * plan.burst / plan.rate * SECOND)
                 length = min(LONGEST_BUCKET, max(SHORTEST_BUCKET, length))
                 customer.tallies.append(Tally(customer, False, length, LIMIT_BURSTS * plan.burst))
+                customer.tallies[0].sure = told * min(plan.ceiling_depth, plan.ceiling_rate * length / SECOND)
             if plan.open:
                 length = min(LONGEST_KEEP // 3, 2 * max(f.timeout for f in self.set.frontends))
                 customer.tallies.append(Tally(customer, True, length, plan.open))
@@ -633,8 +647,7 @@
 
     def _tidy(self):
         for customer in list(self.customers.values()):
-            plan = self.set.plans[customer.plan]
-            full = not plan.ceiling_rate or self._ceiling(customer) >= plan.ceiling_depth / customer.doors
+            full = self._ceiling(customer) >= customer.depth
             if full and not customer.reqs and self.now - customer.seen > IDLE:
                 del self.customers[customer.id]
         self.owed = dict(list(self.owed.items())[-MOST_OWED:])
