The list is asked for from the known version and with patience; ceilings granted by totals

Ruled out: the lists themselves (read without fault), the agent (others are heard). Lines at fault: Watch._follow forgets the version at a 503 and at its start, gives an answer 0.25 s, and asks again 0.1 s after each refusal: alone harmless, from 40 at once it keeps discovery crowded. Change: the watch starts from the version of the list known at start, keeps it when turned away, waits up to 2 s for an answer unless the last came at once, and comes back after ever longer pauses drawn by chance, 1 s on average at most. Ceiling: told totals grant the quota's part of it (13.5 of 23 units here) instead of half, the slack told in the settings counts, and reqs that would be denied for want of an answer go ahead to the counter. Before, 1,751 of 2,818 reqs of cuota-plena without an answer were denied by their door's share.

--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -16,8 +16,7 @@
 
 SECOND = 10_000
 COUNT, PLACE, OUTCOME = "count", "place", "outcome"   # what the path of a req waits for
-# The quota: bucket length and limit in bursts; the part of a ceiling that told totals grant (a share of the
-# rest still holds a whole req); and how long a name is kept on the counter.
+# The quota: bucket length and limit in bursts; what told totals grant of a ceiling's rate; keeping names.
 BUCKET_BURSTS, LIMIT_BURSTS, TOLD_PART = 1.25, 1.35, 0.5
 SHORTEST_BUCKET, LONGEST_BUCKET, LONGEST_KEEP = SECOND // 2, 18 * SECOND, 60 * SECOND
 # The counter: calls failed in a row until none is waited for; the least part of the wanted calls that is
@@ -47,6 +46,13 @@
 TIDY, IDLE = 10 * SECOND, 70 * SECOND                 # beyond any bucket kept and any ceiling filled
 
 
+def sure_part(plan, doors, length, limit, most):
+    """Of a ceiling and its slack, the units that told totals, being of all doors, may grant at once and again
+    each bucket. Harms by as much again when the counter has lost its counts."""
+    room = plan.ceiling_depth + plan.ceiling_slack - doors * most    # a share of the rest holds a whole req
+    return max(0.0, min(limit, room, TOLD_PART * plan.ceiling_rate * length / SECOND))
+
+
 class Mean:
     """A mean over the last `tau` or so, and `weight` values of `start` that never fade."""
 
@@ -145,7 +151,8 @@
                     self._call(0.0, req, tally, tally.bucket - 1)
                     yield COUNT
                 over = self._estimate(tally) > tally.limit
-                sure = sure or self._makes_sure(tally)
+                was = tally.was if tally.was_known else max(tally.was, tally.sure)
+                sure = sure or self._estimate(tally, was) <= tally.sure
             else:
                 over = self._over_unasked(tally, units)
             req.over = max(req.over, self._estimate(tally) / tally.limit)
@@ -224,9 +231,10 @@
         req.counted.append((tally, tally.bucket, units, True))
         if not self.set.may_count:
             return False
-        # Ahead go those of whom our share is less than one req: without an answer each door lets its first
-        # in. Plans by dispatches out stay behind, they need a second call at the end.
-        ahead = not tally.by_open and self._ours(tally) < units
+        # Ahead go those that, without an answer, each door lets in, or denies. Plans by dispatches out stay
+        # behind, they need a second call at the end.
+        ahead = not tally.by_open and (self._ours(tally) < units or self._estimate(tally) <= tally.limit and (
+            self._over_unasked(tally, units) or self._ceiling(req.customer) - req.customer.promised < units))
         if not self._may_call(-AHEAD if ahead else 1.0):
             if tally.by_open:
                 # A +1 told late would only need its -1 told too: this dispatch stays on own counts.
@@ -294,21 +302,11 @@
 
     # The ceiling -------------------------------------------------------------------------------------------
 
-    def _makes_sure(self, tally):
-        """A told total keeps the ceiling for all: over all gatekeepers it lets in `sure` at once, as much a
-        bucket; a previous count not known is taken for that. Harms by one more `sure` when the counter has
-        just lost its counts, and by what waits in line all at once."""
-        was = tally.was if tally.was_known else max(tally.was, tally.sure)
-        return self._estimate(tally, was) <= tally.sure
-
     def _ceiling(self, customer):
         """Our share of what told totals leave of the hard ceiling, for reqs none made sure of. It fills from
         launch, so that a restart never grants a second depth. Harms a customer of one gatekeeper only."""
-        if not self.set.plans[customer.plan].ceiling_rate:
-            return float("inf")
-        filled = (self.now - customer.store_at) * customer.refill
-        customer.store_at = self.now
-        customer.store = min(customer.depth, customer.store + filled)
+        customer.store += (self.now - customer.store_at) * customer.refill
+        customer.store, customer.store_at = min(customer.depth, customer.store), self.now
         return customer.store
 
     # The line and the workers ------------------------------------------------------------------------------
@@ -522,17 +520,19 @@
             plan = self.set.plans[told.plan]
             customer = self.customers[told.customer] = Customer()
             customer.id, customer.plan, customer.doors = told.customer, told.plan, told.doors
-            customer.reqs, customer.tallies = 0, []
-            customer.store, customer.store_at, customer.promised = 0.0, self.launched, 0.0
-            # True units told later give back what the ceiling has drawn: then totals make sure of nothing.
-            told = TOLD_PART if plan.rate and self.set.may_count and not self.set.settles else 0.0
-            customer.depth = (1 - told) * plan.ceiling_depth / customer.doors
-            customer.refill = (1 - told) * plan.ceiling_rate / customer.doors / SECOND
+            customer.reqs, customer.tallies, customer.promised, customer.store_at = 0, [], 0.0, self.launched
+            depth = plan.ceiling_depth if plan.ceiling_rate else float("inf")
+            customer.store, refill = 0.0 if plan.ceiling_rate else depth, plan.ceiling_rate / SECOND
             if plan.rate:
                 length = int(BUCKET_BURSTS * plan.burst / plan.rate * SECOND)
                 length = min(LONGEST_BUCKET, max(SHORTEST_BUCKET, length))
-                customer.tallies.append(Tally(customer, False, length, LIMIT_BURSTS * plan.burst))
-                customer.tallies[0].sure = told * min(plan.ceiling_depth, plan.ceiling_rate * length / SECOND)
+                customer.tallies.append(tally := Tally(customer, False, length, LIMIT_BURSTS * plan.burst))
+                # Not where units settled later give back what the ceiling has drawn.
+                if self.set.may_count and self.set.whole and not self.set.settles:
+                    tally.sure = sure_part(plan, told.doors, length, tally.limit, self.set.most_units)
+                    depth += (plan.ceiling_slack - tally.sure) * (tally.sure > 0)
+                    refill -= tally.sure / length
+            customer.depth, customer.refill = depth / told.doors, refill / told.doors
             if plan.open:
                 length = min(LONGEST_KEEP // 3, 2 * max(f.timeout for f in self.set.frontends))
                 customer.tallies.append(Tally(customer, True, length, plan.open))
--- a/fernyard/discovery/watch.py
+++ b/fernyard/discovery/watch.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from dataclasses import dataclass
+from random import Random
 
 import aiohttp
 import structlog
@@ -21,16 +22,22 @@
     addresses: dict | None = None
 
 
+class TurnedAway(Exception):
+    """Discovery has more calls than it can take."""
+
+
 class Watch:
-    def __init__(self, address, machines, limits, report):
+    def __init__(self, address, machines, limits, report, version=None, seed=0):
+        """`version`: of the list that the gatekeeper starts with, or None where it has none."""
         self.address, self.machines, self.limits, self.report = address, machines, limits, report
+        self.version, self.random = version, Random(seed)
         self.task = self.next = self.session = None
 
     def start(self):
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit_per_host=1), cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=self.limits.connect))
-        self.task = asyncio.get_running_loop().create_task(self._follow(self.address))
+        self.task = asyncio.get_running_loop().create_task(self._follow(self.address, self.version))
 
     def move(self, address):
         """Watches `address` from its whole list on. The old one is watched until the new one has answered:
@@ -41,13 +48,17 @@
         if address != self.address:
             self.next = asyncio.get_running_loop().create_task(self._follow(address))
 
-    async def _follow(self, address):
-        version, failed = None, False
+    async def _follow(self, address, version=None):
+        """Restarted all at once, gatekeepers that asked for the whole list, went away after a quarter of a second and
+        asked ten times a second for what was turned away kept discovery crowded and learned nothing for the rest of
+        the day. So only what is missing is asked for; an answer is waited for as long as a crowded discovery may
+        take, unless it has just been quick; and what is turned away is asked for again ever later, by chance."""
+        failed, crowded, patience = False, 0, self.limits.watch_crowd
         while True:
             asked = asyncio.get_running_loop().time()
             try:
-                version, told = await self._ask(address, version)
-                failed = False
+                version, told = await self._ask(address, version, patience)
+                failed, crowded, patience = False, 0, self.limits.watch_grace
                 if self.next is asyncio.current_task():
                     self.task.cancel()
                     self.task, self.next, self.address = self.next, None, address
@@ -61,15 +72,21 @@
                     log.warning("discovery_unheard", why=type(why).__name__)
                     self.report(Told())
                 failed, version = True, None if isinstance(why, ValueError) else version
-                await asyncio.sleep(self.limits.watch_pause)
+                crowded = crowded + 1 if isinstance(why, TurnedAway) else 0
+                patience = self.limits.watch_crowd if crowded else min(2 * patience, self.limits.watch_crowd)
+                pause = min(self.limits.watch_crowd / 2, self.limits.watch_pause * 2 ** min(crowded, 16))
+                # All that are turned away at one moment would come again at one moment.
+                await asyncio.sleep(pause * (0.5 + self.random.random()) if crowded else self.limits.watch_pause)
 
-    async def _ask(self, address, version):
+    async def _ask(self, address, version, patience):
         wait, query = 0.0, {}
         if version is not None:
             wait, query = self.limits.watch, {"since": version, "timeout_ms": int(self.limits.watch * 1000)}
-        async with asyncio.timeout(wait + self.limits.watch_grace):
+        async with asyncio.timeout(wait + patience):
             url = f"http://{address}/v1/servers"
             async with self.session.get(url, params=query, allow_redirects=False) as answer:
+                if answer.status in (429, 503):
+                    raise TurnedAway(f"status {answer.status}")
                 if answer.status != 200:
                     raise ValueError(f"status {answer.status}")
                 version, whole, machines, addresses = self.machines.read(json.loads(await answer.read()))
--- a/fernyard/interface.py
+++ b/fernyard/interface.py
@@ -72,6 +72,7 @@
     open: int
     ceiling_rate: float
     ceiling_depth: float
+    ceiling_slack: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +90,8 @@
     cold_share: float
     fall_multiple: float
     warm_up: int
+    most_units: float = 1.0     # that one req may take
+    whole: bool = True      # told totals are of all gatekeepers, and not of one's own leases
 
 
 # Happenings and orders: made by the thousand and never changed; freezing them would double their cost.
--- a/fernyard/node/reducer.py
+++ b/fernyard/node/reducer.py
@@ -4,7 +4,7 @@
 into effects.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from heapq import heappop, heappush
 
 import structlog
@@ -15,7 +15,7 @@
 from ..decide import Gatekeeper
 from ..discovery import Told
 from ..lateness import Lag, Offered
-from ..plan import Heard, Lost, Reach
+from ..plan import Forwarder, Heard, Lost, Reach
 from ..recovery import Answered, Asked, Beat, Bring, Tell
 from ..settings import Config
 from ..workers import Outcome
@@ -87,7 +87,9 @@
         self.now = now
         _, _, machines, addresses = self.config.known
         self.addresses = dict(addresses)
-        launched = i.Launched(self.config.settings, self.config.seed)
+        # What a forwarder tells of is its own leases: no total of theirs makes sure of anything for others.
+        settings = replace(self.config.settings, whole=not isinstance(self.between, Forwarder))
+        launched = i.Launched(settings, self.config.seed)
         for happening in launched, i.Roster(i.News.CACHED, machines):
             self._carry_out(self.gatekeeper.step(now, happening))
         if self.between is not None:
--- a/fernyard/node/runner.py
+++ b/fernyard/node/runner.py
@@ -56,7 +56,9 @@
         if operator is not None and operator.eureka is not None:
             self.discovery = operator.eureka.watch(config.machines.zones, self.post, self.counts)
         else:
-            self.discovery = Watch(config.discovery, config.machines, config.limits, self.post)
+            version, _, machines, _ = config.known
+            self.discovery = Watch(config.discovery, config.machines, config.limits, self.post,
+                                   version if machines else None, config.seed)
         # A forwarder leaves the counter to the planners.
         self.planners = self.counter = None
         if isinstance(between, Forwarder):
--- a/fernyard/recovery/bound.py
+++ b/fernyard/recovery/bound.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from ..decide import (BUCKET_BURSTS, LIMIT_BURSTS, LONGEST_BUCKET, SECOND, SHORTEST_BUCKET, SPREAD,
-                      UNASKED)
+                      TOLD_PART, UNASKED)
 
 
 def bucket_of(plan):
@@ -80,13 +80,17 @@
     depth = plan.get("capDepth", 0.0) if plan.get("ceilingRate") else float("inf")
 
     def ceiling(seconds):
-        """What the hard ceiling, held by each gatekeeper for itself, lets pass in so long."""
+        """What the hard ceiling, held by shares and by told totals, lets pass in so long."""
         return depth + plan.get("ceilingRate", 0.0) * seconds
 
     def passes(seconds):
         return min(ceiling(seconds), float("inf") if rate is None else rate * seconds)
 
     whole = passes(length)
+    # Without an answer only the shares grant, beside what told totals had granted before (`_makes_sure`).
+    shared = (1 - TOLD_PART) * ceiling(length) + TOLD_PART * min(ceiling(0.0), ceiling(length) - ceiling(0.0)) \
+        if plan.get("ceilingRate") else float("inf")
+    unheard = min(whole, shared)
 
     def without_answer(shares):
         """`shares`: the sum of what the gatekeepers take for their shares of the customer. The spread is the most
@@ -107,8 +111,8 @@
     apart = (halves - 1) * min(limit, passes(min(split_after, length)))
     on = crossing if recovery else halves * crossing
     return Bounds(
-        plan["name"], length, limit, crossing, min(whole, without_answer(1.0)),
+        plan["name"], length, limit, crossing, min(unheard, without_answer(1.0)),
         # A gatekeeper takes no less than 1/doors for its share, and shares learned of one stream sum to one.
-        min(whole, without_answer(2.0 if doors > 1 else 1.0)), min(whole, without_answer(doors)),
+        min(unheard, without_answer(2.0 if doors > 1 else 1.0)), min(unheard, without_answer(doors)),
         min(whole, crossing + extra), min(whole, crossing + apart), min(whole, on),
         (replaced_after, split_after))
--- a/fernyard/settings/limits.py
+++ b/fernyard/settings/limits.py
@@ -32,7 +32,8 @@
     counter_pause: float       # between two tries to connect to the counter
     counter_owed: int          # calls unanswered on one connection, past which it is opened anew
     watch: float               # how long discovery may wait before it answers a watch
-    watch_grace: float         # past that, the watch is asked anew
+    watch_grace: float         # past that, a watch that was just answered is asked anew
+    watch_crowd: float         # past that, any is; twice the longest mean pause after one was turned away
     watch_pause: float         # between two tries after discovery could not be reached
     accept_after_stop: float   # after SIGTERM new connections keep coming
     longest_wait: float        # of a client, whatever it says
@@ -56,6 +57,6 @@
             connect=allowed.get("connectTimeoutMs", 250) / 1000,
             count=extra.get("counterTimeoutMs", 50) / 1000,
             counter_silence=1.0, counter_pause=0.1, counter_owed=2000,
-            watch=0.5, watch_grace=0.25, watch_pause=0.1,
+            watch=0.5, watch_grace=0.25, watch_crowd=2.0, watch_pause=0.1,
             accept_after_stop=0.5, longest_wait=2 * longest / 1000, grain=0.004, flush=0.5,
         )
--- a/fernyard/settings/read.py
+++ b/fernyard/settings/read.py
@@ -29,6 +29,7 @@
             plans=tuple(i.Plan(
                 rate=p.get("refill", 0), burst=p.get("burst", 0), open=p.get("open", 0),
                 ceiling_rate=p.get("ceilingRate", 0), ceiling_depth=p.get("capDepth", 0),
+                ceiling_slack=p.get("ceilingSlack", 0),
             ) for p in told.get("tariffs", ())),
             gatekeepers=max(1, told.get("balancers", 1)),
             zone=told.get("zone", 0),
@@ -40,6 +41,7 @@
             longest_return=tenths(allowed.get("maxRetryAfterMs", 0)) if allowed.get("retryAfter") else 0,
             cold_share=rules["coldShare"], fall_multiple=rules["fallMultiple"],
             warm_up=tenths(rules["warmUpMs"]),
+            most_units=extra.get("maxUnits") or 1,
         )
     except (ValueError, KeyError, TypeError, AttributeError) as why:
         raise BadSettings(f"the settings cannot be read: {type(why).__name__}: {why}") from None
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -1,8 +1,10 @@
 """What the decisions guard against, one kept trace a failure."""
 
+from dataclasses import replace
+
 from fernyard import interface as i
 
-from .helper import Play, machine
+from .helper import BY_OPEN, BY_RATE, CEILING, Play, machine
 
 
 class Quota(Play):
@@ -242,7 +244,7 @@
             self.after(700)
             for req, total in (1, 1), (2, 2), (3, 3):   # the last would pass the told half, the previous unknown
                 self.arrive(req, plan=2, doors=8)
-                self.answer(total)
+                self.answer(total, 0)
             first = self.lines if whole else first + ["totals of this gatekeeper's leases alone"] + self.lines
         self.lines = first
         self.kept("ceiling_sure")
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -3,12 +3,14 @@
 import asyncio
 import socket
 import time
+import unittest.mock
 from dataclasses import replace
 
 from fernyard import interface as i
 from fernyard.clients import Taken
 from fernyard.counter import Counter
 from fernyard.discovery import Watch
+from fernyard.discovery.watch import TurnedAway
 from fernyard.workers import WorkerPool
 from fernyard.workers.connections import Idle
 
@@ -337,6 +339,47 @@
         await self.until(lambda: len(far.messages) == 3)
         self.assertLess(asyncio.get_running_loop().time() - began, 8.0)     # the connection says nothing for 9 s
 
+    async def test_what_is_known_is_not_asked_for_again_and_a_crowded_agent_is_waited_for(self):
+        # All restarted at once asked for the whole list, left after a quarter of a second and asked ten times a second:
+        # discovery stayed crowded, and of forty gatekeepers 28 never heard of the workers that came.
+        replies = iter((answer(503), asyncio.sleep(0.2, answer(200, "", b'{"generation":42,"instances":[]}')),
+                        asyncio.sleep(30)))
+        far = await self.stand_in(lambda message: next(replies))
+        config = self.config({"watch_grace": 0.05, "watch_crowd": 30.0, "watch_pause": 0.001})
+        watch = Watch(f"{HOST}:{far.port}", config.machines, config.limits, self.events.append, 41, 7)
+        watch.start()
+        self.addAsyncCleanup(watch.close)
+        await self.until(lambda: len(far.messages) == 3)
+        asked = [message[0].split()[1] for message in far.messages]
+        self.assertEqual([path.partition("&")[0] for path in asked],
+                         ["/v1/servers?since=41", "/v1/servers?since=41", "/v1/servers?since=42"])
+        self.assertEqual([told.machines for told in self.events], [None])
+
+    async def test_those_turned_away_together_come_again_ever_later_and_at_moments_of_their_own(self):
+        class TurnedDown(Watch):
+            async def _ask(self, *told):
+                raise TurnedAway
+
+        async def pauses(seed):
+            slept, enough, sleep = [], asyncio.Event(), asyncio.sleep
+
+            async def paused(seconds):
+                slept.append(seconds)
+                if len(slept) == 40:
+                    enough.set()
+                await sleep(0)
+            config = self.config({"watch_pause": 0.1, "watch_crowd": 2.0})
+            watch = TurnedDown(HOST, config.machines, config.limits, self.events.append, seed=seed)
+            with unittest.mock.patch("asyncio.sleep", paused):
+                watch.start()
+                await enough.wait()
+                await watch.close()
+            return slept[:40]
+        one, other = await pauses(1), await pauses(2)
+        self.assertFalse(set(one) & set(other))
+        self.assertLess(max(one[:1]), 0.31)
+        self.assertTrue(all(0.5 <= pause <= 1.5 for pause in one[3:]))     # discovery's news count as told after 6 s
+
     async def test_a_silent_agent_is_asked_anew(self):
         far = await self.stand_in(lambda message: asyncio.sleep(0.4))
         config = self.config({"watch_grace": 0.05, "watch_pause": 0.02})
