Where the list must be asked for, first calls spread and refused ones back off by the fleet's size

Seen on herd+vast (probe, each call of the list with its time and answer): of those restarted together none of 28 had a list in 12 s. 503 came at once (0.004 s) or after 2.00 s: discovery takes in more calls than it answers in time, answers each too late, and calls that come again after a second keep it so. Those that hold a watch renew it at no cost and are never refused. At fault: Watch._follow's pauses, a second at most, and 28 first calls at one moment. Change: where the settings say that the list must be asked for (membershipMode subscribe), a gatekeeper that knows a list asks first within a tenth of a second for each gatekeeper, 3 s at most, and the pause after a refusal doubles from 2 s up to a quarter of a second for each gatekeeper, 10 s at most: four calls a second of all together.

--- a/fernyard/discovery/watch.py
+++ b/fernyard/discovery/watch.py
@@ -49,10 +49,13 @@
             self.next = asyncio.get_running_loop().create_task(self._follow(address))
 
     async def _follow(self, address, version=None):
-        """Restarted all at once, gatekeepers that asked for the whole list, went away after a quarter of a second and
-        asked ten times a second for what was turned away kept discovery crowded and learned nothing for the rest of
-        the day. So only what is missing is asked for; an answer is waited for as long as a crowded discovery may
-        take, unless it has just been quick; and what is turned away is asked for again ever later, by chance."""
+        """Gatekeepers restarted all at once asked for the whole list, went away after a quarter of a second and asked
+        ten times a second for what was turned away: discovery answered each too late, and for the rest of the day
+        most learned nothing. So only what is missing is asked for, at a moment of one's own; an answer is waited for
+        as long as a crowded discovery may take, unless it has just been quick; and what was turned away is asked for
+        ever later: together no faster than a discovery that has fallen behind may catch up."""
+        if version is not None:
+            await asyncio.sleep(self.limits.watch_spread * self.random.random())
         failed, crowded, patience = False, 0, self.limits.watch_crowd
         while True:
             asked = asyncio.get_running_loop().time()
@@ -74,7 +77,7 @@
                 failed, version = True, None if isinstance(why, ValueError) else version
                 crowded = crowded + 1 if isinstance(why, TurnedAway) else 0
                 patience = self.limits.watch_crowd if crowded else min(2 * patience, self.limits.watch_crowd)
-                pause = min(self.limits.watch_crowd / 2, self.limits.watch_pause * 2 ** min(crowded, 16))
+                pause = min(self.limits.watch_longest_pause, self.limits.watch_crowd * 2 ** min(crowded - 1, 16))
                 # All that are turned away at one moment would come again at one moment.
                 await asyncio.sleep(pause * (0.5 + self.random.random()) if crowded else self.limits.watch_pause)
 
--- a/fernyard/settings/limits.py
+++ b/fernyard/settings/limits.py
@@ -33,7 +33,9 @@
     counter_owed: int          # calls unanswered on one connection, past which it is opened anew
     watch: float               # how long discovery may wait before it answers a watch
     watch_grace: float         # past that, a watch that was just answered is asked anew
-    watch_crowd: float         # past that, any is; twice the longest mean pause after one was turned away
+    watch_crowd: float         # past that, any is; the mean pause after one was turned away, at first
+    watch_longest_pause: float  # and as it doubles, at most
+    watch_spread: float        # within which gatekeepers started together ask for the first time
     watch_pause: float         # between two tries after discovery could not be reached
     accept_after_stop: float   # after SIGTERM new connections keep coming
     longest_wait: float        # of a client, whatever it says
@@ -44,6 +46,9 @@
     def fill(cls, told, settings):
         """From the machine's limits and the settings as the operators word them."""
         allowed, extra = settings.get("allowed", {}), settings.get("extra", {})
+        # Where the list must be asked for, all gatekeepers share what discovery can take.
+        asking = settings.get("membershipMode") == "subscribe"
+        fleet = max(1, settings.get("balancers", 1)) if asking else 0
         longest = max((c["hardLimitMs"] for c in settings.get("classes", ())), default=30_000)
         memory = min(64, int(told.get("memory_mb", 64)))
         sockets = min(1024, int(told.get("sockets", 1024)))
@@ -57,6 +62,10 @@
             connect=allowed.get("connectTimeoutMs", 250) / 1000,
             count=extra.get("counterTimeoutMs", 50) / 1000,
             counter_silence=1.0, counter_pause=0.1, counter_owed=2000,
-            watch=0.5, watch_grace=0.25, watch_crowd=2.0, watch_pause=0.1,
+            watch=0.5, watch_grace=0.25, watch_crowd=2.0,
+            # Four calls a second of all gatekeepers turned away together, ten of all that start together; elsewhere
+            # what a gatekeeper has not asked for yet counts as told, and it asks at once.
+            watch_longest_pause=max(0.1, min(10.0, 0.25 * fleet)), watch_spread=min(3.0, 0.1 * fleet),
+            watch_pause=0.1,
             accept_after_stop=0.5, longest_wait=2 * longest / 1000, grain=0.004, flush=0.5,
         )
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -14,7 +14,7 @@
 from fernyard.workers import WorkerPool
 from fernyard.workers.connections import Idle
 
-from .helper import CUSTOMER, HOST, PASSED, Sockets, entry, read_call
+from .helper import CUSTOMER, HOST, PASSED, SETTINGS, Sockets, entry, read_call
 
 
 def answer(status, headers="", body=b"x"):
@@ -345,7 +345,8 @@
         replies = iter((answer(503), asyncio.sleep(0.2, answer(200, "", b'{"generation":42,"instances":[]}')),
                         asyncio.sleep(30)))
         far = await self.stand_in(lambda message: next(replies))
-        config = self.config({"watch_grace": 0.05, "watch_crowd": 30.0, "watch_pause": 0.001})
+        config = self.config({"watch_grace": 0.05, "watch_crowd": 30.0, "watch_longest_pause": 0.001,
+                              "watch_spread": 0.001})
         watch = Watch(f"{HOST}:{far.port}", config.machines, config.limits, self.events.append, 41, 7)
         watch.start()
         self.addAsyncCleanup(watch.close)
@@ -360,7 +361,7 @@
             async def _ask(self, *told):
                 raise TurnedAway
 
-        async def pauses(seed):
+        async def pauses(seed, **mode):
             slept, enough, sleep = [], asyncio.Event(), asyncio.sleep
 
             async def paused(seconds):
@@ -368,17 +369,22 @@
                 if len(slept) == 40:
                     enough.set()
                 await sleep(0)
-            config = self.config({"watch_pause": 0.1, "watch_crowd": 2.0})
-            watch = TurnedDown(HOST, config.machines, config.limits, self.events.append, seed=seed)
+            config = self.config(settings={**SETTINGS, "balancers": 40, **mode})
+            watch = TurnedDown(HOST, config.machines, config.limits, self.events.append, 41, seed)
             with unittest.mock.patch("asyncio.sleep", paused):
                 watch.start()
                 await enough.wait()
                 await watch.close()
             return slept[:40]
-        one, other = await pauses(1), await pauses(2)
+        one, other = [await pauses(seed, membershipMode="subscribe") for seed in (1, 2)]
         self.assertFalse(set(one) & set(other))
-        self.assertLess(max(one[:1]), 0.31)
-        self.assertTrue(all(0.5 <= pause <= 1.5 for pause in one[3:]))     # discovery's news count as told after 6 s
+        self.assertLessEqual(one[0], 3.0)                                  # from 40 in all within 3 s, not at once
+        self.assertTrue(all(1.0 <= pause <= 3.0 for pause in one[1:2]))
+        self.assertTrue(all(5.0 <= pause <= 15.0 for pause in one[4:]))    # from 40, four a second
+        # Where discovery tells by itself, what is not asked for counts as told: nobody waits.
+        told = await pauses(1, membershipMode="automatic")
+        self.assertEqual(told[0], 0.0)
+        self.assertTrue(all(pause <= 0.15 for pause in told))
 
     async def test_a_silent_agent_is_asked_anew(self):
         far = await self.stand_in(lambda message: asyncio.sleep(0.4))
