Laboratory: the large fleet played and counted; the watch's pace decides apart from the network

The watch's times, patience and pauses stand in fernyard/discovery/pace.py, free of I/O, used by the watch and by the laboratory. The lab has a discovery of fixed capacity that must be asked, connections kept and opened, and counts over the whole fleet; the scenario fleet-growth has 40 gatekeepers (28 killed at once), 60 workers (36 replaced within 7 s) and a zone lost. A short form is a test. The bound of counter trouble is that of the new shares.

--- a/fernyard/discovery/watch.py
+++ b/fernyard/discovery/watch.py
@@ -3,12 +3,12 @@
 import asyncio
 import json
 from dataclasses import dataclass
-from random import Random
 
 import aiohttp
 import structlog
 
 from ..interface import Machine
+from .pace import Pace
 
 log = structlog.get_logger(__name__)
 
@@ -30,7 +30,7 @@
     def __init__(self, address, machines, limits, report, version=None, seed=0):
         """`version`: of the list that the gatekeeper starts with, or None where it has none."""
         self.address, self.machines, self.limits, self.report = address, machines, limits, report
-        self.version, self.random = version, Random(seed)
+        self.version, self.seed = version, seed
         self.task = self.next = self.session = None
 
     def start(self):
@@ -49,19 +49,14 @@
             self.next = asyncio.get_running_loop().create_task(self._follow(address))
 
     async def _follow(self, address, version=None):
-        """Gatekeepers restarted all at once asked for the whole list, went away after a quarter of a second and asked
-        ten times a second for what was turned away: discovery answered each too late, and for the rest of the day
-        most learned nothing. So only what is missing is asked for, at a moment of one's own; an answer is waited for
-        as long as a crowded discovery may take, unless it has just been quick; and what was turned away is asked for
-        ever later: together no faster than a discovery that has fallen behind may catch up."""
-        if version is not None:
-            await asyncio.sleep(self.limits.watch_spread * self.random.random())
-        failed, crowded, patience = False, 0, self.limits.watch_crowd
+        pace, failed = Pace(self.limits, self.seed), False
+        await asyncio.sleep(pace.first(version is not None))
         while True:
             asked = asyncio.get_running_loop().time()
             try:
-                version, told = await self._ask(address, version, patience)
-                failed, crowded, patience = False, 0, self.limits.watch_grace
+                version, told = await self._ask(address, version, pace.patience)
+                failed = False
+                pace.answered()
                 if self.next is asyncio.current_task():
                     self.task.cancel()
                     self.task, self.next, self.address = self.next, None, address
@@ -75,11 +70,7 @@
                     log.warning("discovery_unheard", why=type(why).__name__)
                     self.report(Told())
                 failed, version = True, None if isinstance(why, ValueError) else version
-                crowded = crowded + 1 if isinstance(why, TurnedAway) else 0
-                patience = self.limits.watch_crowd if crowded else min(2 * patience, self.limits.watch_crowd)
-                pause = min(self.limits.watch_longest_pause, self.limits.watch_crowd * 2 ** min(crowded - 1, 16))
-                # All that are turned away at one moment would come again at one moment.
-                await asyncio.sleep(pause * (0.5 + self.random.random()) if crowded else self.limits.watch_pause)
+                await asyncio.sleep(pace.failed(isinstance(why, TurnedAway)))
 
     async def _ask(self, address, version, patience):
         wait, query = 0.0, {}
--- a/fernyard/lab/cli.py
+++ b/fernyard/lab/cli.py
@@ -66,6 +66,7 @@
     click.echo(verdict_line(result))
     click.echo(json.dumps({k: result["verdict"][k] for k in ("kinds", "worst_drain_s", "windows", "cold_push")}))
     if emulated:
+        click.echo(json.dumps({"fleet": result["fleet"]}))
         click.echo(f"digest {result['digest']}")
     sys.exit(1 if result["verdict"]["broken"] else 0)
 
--- a/fernyard/lab/result.py
+++ b/fernyard/lab/result.py
@@ -22,6 +22,7 @@
         "allowed": {"mostTries": 3, "connIdleMs": 2000.0, "connectTimeoutMs": 100.0, "retryAfter": True,
                     "maxRetryAfterMs": 500.0},
         "balancers": scenario.gatekeepers,
+        "membershipMode": "subscribe" if scenario.discovery else "automatic",
         "zones": sorted({w.zone for w in scenario.workers}),
         "zone": 0,
         "extra": {"mayCount": True, "maxUnits": 9, "counterTimeoutMs": 60.0},
--- a/fernyard/lab/scenario.py
+++ b/fernyard/lab/scenario.py
@@ -85,6 +85,16 @@
     cell: int = 1
 
 
+class Discovery(Strict):
+    """A discovery that must be asked (emulated clock alone): `lines_per_s` it can send, `call_lines` that a call costs
+    beside a line an entry; a call is turned away when its answer would take over `overbook` time-outs."""
+
+    lines_per_s: float = Field(gt=0, le=1_000_000)
+    call_lines: float = Field(default=30.0, ge=0, le=10_000)
+    overbook: float = Field(default=1.0, gt=0, le=100)
+    timeout_s: float = Field(default=2.0, gt=0, le=60)
+
+
 # "mark" keeps the counter's values as they are; "stale" brings back those of the last mark (none: empty);
 # "split" gives the target faces a store of their own until the step ends.
 COUNTER_FAULTS = ("up", "lost", "silent", "slow", "busy", "fresh", "stale", "mark", "split")
@@ -119,6 +129,7 @@
     client_timeout: float = Field(default=0.48, gt=0, le=60)
     gatekeepers: int = Field(default=2, ge=1, le=64)
     registry: Literal["discovery", "eureka"] = "discovery"
+    discovery: Discovery | None = None                # None: it tells all changes by itself
     planners: int = Field(default=0, ge=0, le=16)     # above 0 the gatekeepers are forwarders to so many planners
     customers: tuple[Customer, ...] = Field(min_length=1)
     workers: tuple[Worker, ...] = Field(min_length=1)
--- a/fernyard/recovery/bound.py
+++ b/fernyard/recovery/bound.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass
 
 from ..decide import (BUCKET_BURSTS, LIMIT_BURSTS, LONGEST_BUCKET, SECOND, SHORTEST_BUCKET, SPREAD,
-                      TOLD_PART, UNASKED)
+                      UNASKED, sure_part)
+from ..interface import Plan
 
 
 def bucket_of(plan):
@@ -25,7 +26,7 @@
     for name, number in config.plans.items():
         plan = config.settings.plans[number]
         worded = {"name": name, "refill": plan.rate, "burst": plan.burst, "ceilingRate": plan.ceiling_rate,
-                  "capDepth": plan.ceiling_depth}
+                  "capDepth": plan.ceiling_depth, "ceilingSlack": plan.ceiling_slack}
         told.append(bounds(worded, config.settings.gatekeepers, recovery, config.settings.count_timeout,
                            config.limits.units))
     return [bound for bound in told if bound is not None]
@@ -87,10 +88,12 @@
         return min(ceiling(seconds), float("inf") if rate is None else rate * seconds)
 
     whole = passes(length)
-    # Without an answer only the shares grant, beside what told totals had granted before (`_makes_sure`).
-    shared = (1 - TOLD_PART) * ceiling(length) + TOLD_PART * min(ceiling(0.0), ceiling(length) - ceiling(0.0)) \
-        if plan.get("ceilingRate") else float("inf")
-    unheard = min(whole, shared)
+    # Without an answer only the shares grant, beside what told totals granted in the bucket before they stopped.
+    unheard = whole
+    if plan.get("ceilingRate"):
+        told = Plan(plan["refill"], plan.get("burst", 0.0), 0, plan["ceilingRate"], depth, plan.get("ceilingSlack", 0.0))
+        sure = sure_part(told, doors, length * SECOND, limit, most_units)
+        unheard = min(whole, ceiling(length) + told.ceiling_slack * (sure > 0) - sure)
 
     def without_answer(shares):
         """`shares`: the sum of what the gatekeepers take for their shares of the customer. The spread is the most
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -1,10 +1,12 @@
 """What the decisions guard against, one kept trace a failure."""
 
 from dataclasses import replace
+from random import Random
 
 from fernyard import interface as i
+from fernyard.decide import Gatekeeper
 
-from .helper import BY_OPEN, BY_RATE, CEILING, Play, machine
+from .helper import BY_OPEN, BY_RATE, CEILING, Play, machine, settings
 
 
 class Quota(Play):
@@ -236,6 +238,41 @@
         self.roster(machine(1))
         self.kept("ceiling_promise")
 
+    def test_a_hard_ceiling_holds_over_all_doors_whatever_part_of_the_calls_is_answered(self):
+        plan = replace(CEILING, rate=4.0, burst=10.0, ceiling_rate=9.0, ceiling_depth=22.0, ceiling_slack=2.0)
+        lowest, sent = [], []
+        for seed in range(12):
+            chance, counter, store, now = Random(seed), {}, plan.ceiling_depth, 1_000_000
+            doors = [Gatekeeper() for _ in range(11)]
+            for n, door in enumerate(doors):
+                door.step(now, i.Launched(settings(plans=(plan,), gatekeepers=11), n))
+                door.step(now, i.Roster(i.News.CACHED, tuple(machine(w) for w in range(40))))
+            lowest.append(store)
+            sent.append(0)
+            for req in range(2400):
+                # Bursts of 200 every 6 s, the first half answered and then less and less: first the totals grant
+                # all they may, then each door its share. Its quota is 4 a second, its ceiling 9.
+                step = 10 if req % 200 else 60_000
+                now += step
+                store = min(plan.ceiling_depth, store + plan.ceiling_rate * step / 10_000)
+                unanswered = 0.0 if req % 200 < 100 else (1.0, 0.5)[seed % 2]
+                door = chance.choice(doors[:3] if req % 200 < 100 else doors)
+                tell = [i.Arrived(req, 0, 0, 5, 30_000, 1.0, 11)]
+                while tell:
+                    for order in door.step(now, tell.pop(0)):
+                        if isinstance(order, i.Dispatch):
+                            store -= 1.0
+                            sent[-1] += 1
+                            tell.append(i.Ended(order.req, 0, order.worker, True, i.End.PASSED, 500))
+                        elif isinstance(order, i.Add):
+                            counter[order.name] = counter.get(order.name, 0.0) + order.amount
+                            lost = chance.random() < unanswered
+                            tell.append(i.Counted(order.name, i.End.TIMEOUT if lost else i.End.PASSED,
+                                                  counter[order.name], 300 if lost else 20))
+                lowest[-1] = min(lowest[-1], store)
+        self.assertGreaterEqual(min(lowest), -plan.ceiling_slack)
+        self.assertGreater(min(sent), 12 * 10)      # and each burst gets what the quota holds
+
     def test_a_told_total_that_makes_sure_of_the_ceiling_needs_no_share_of_it(self):
         """Eight doors after a mass restart, each with a share too small for one req: all were denied for seconds."""
         for whole in True, False:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -237,6 +237,22 @@
         self.assertTrue(verdict_line(emulated).startswith("small seed 5: rules kept"))
 
 
+class Growth(unittest.TestCase):
+    def test_gatekeepers_killed_together_learn_of_the_workers_that_came(self):
+        """Forty gatekeepers on a discovery that answers some seven calls a second, 28 of them killed at once. Asked for at
+        once, given up after 0.25 s and asked for again each 0.1 s, six of 68 starts ever heard a list."""
+        scenario = load_scenario("fleet-growth")
+        result = VirtualLab(scenario.model_copy(update={"duration": 13.0}), 1).run()
+        self.assertEqual(result["verdict"]["broken"], [])
+        fleet = result["fleet"]
+        self.assertGreaterEqual(fleet["until a list is heard, s"]["starts"], 64)
+        self.assertLessEqual(fleet["until a list is heard, s"]["most"], 6.0)    # then all counts as told
+        self.assertLessEqual(fleet["lists asked for"]["turned away"] + fleet["lists asked for"]["late"], 8)
+        self.assertLess(fleet["cold push, of what fells one"], 0.5)
+        self.assertGreater(fleet["from a death to the last dispatch, s"]["deaths"], 15)
+        self.assertLess(fleet["from a death to the last dispatch, s"]["mean"], 1.5)
+
+
 class TwoLevels(unittest.IsolatedAsyncioTestCase):
     async def test_real_forwarders_lose_a_planner_and_take_workers_from_a_registry(self):
         # The client timeout is long, so that what is checked is the answer itself and not the machine's load.
