A worker not met of late costs the settings' price of a handshake more

At fault: Gatekeeper._cost, under which an unmet worker (1.0) comes before one whose last answer was a little slow, so that few reqs go round all workers. Change: its cost grows by the price of a handshake in usual answer times, each about QUICK of the target; nothing where none is told.

--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -27,9 +27,8 @@
 BLIND_AFTER, LEAST_PART, RAISE, SLOW_CUT, FAIL_CUT = 3, 0.03, 1.08, 0.9, 0.7
 CROWDED, CALLED_OFF, SLOW_CALL, FORGET, AHEAD = 0.9, 0.5, 0.3, 0.002, 3.0
 # Without an answer: what a total teaches of the part that comes through here, our share of the limit in such
-# parts; and the spread that chance gives small numbers, of reqs and of dispatches out.
-LEARN, UNASKED, SPREAD = 0.1, 1.2, 0.7
-MOST_OWED = 5000                                      # names with units owed, through a long silence
+# parts; the spread that chance gives small numbers, of reqs and of dispatches out; and names with units owed.
+LEARN, UNASKED, SPREAD, MOST_OWED = 0.1, 1.2, 0.7, 5000
 # Workers: places of one at first and at least over all gatekeepers, at most here; failures in a row that
 # bench one, and for how long.
 FIRST_PLACES, FEWEST_PLACES, MOST_PLACES = 6.0, 2.0, 16.0
@@ -38,7 +37,7 @@
 SLOW_TAU, LONGEST_TAU, WORK_TAU, PACE_TAU = 3 * SECOND, 60 * SECOND, 5 * SECOND, 5 * SECOND
 FAILED_AS = 4.0                                       # a failure weighs as an answer this many times too slow
 QUICK, SLOW = 0.25, 0.4                               # shares of the response target that move the places
-ELSEWHERE, DRAWN = 1.1, 8                             # cost of another zone; workers looked at for a req
+ELSEWHERE, MET, DRAWN = 1.1, 0.1, 8   # cost of another zone; answers left of one met; workers looked at
 COLD_PART = 0.6                                       # of the push told to be too much, for a cold worker
 GUESS, GUESS_WEIGHT = 0.125, 0.2                      # of the response target, in answers, until some tell
 LAST_START, LOST = 2.0, 4.0                           # usual times: left to begin a req; out and likely lost
@@ -339,8 +338,7 @@
         if req.group and self.now >= self._window_end(req):
             return None
         fit = (w for w in self.ready if not req.group or w.place(req.group[0]) == req.group[1])
-        few = islice((w for w in fit if self._has_place(w)), DRAWN)
-        return min(few, key=self._cost, default=None)
+        return min(islice(filter(self._has_place, fit), DRAWN), key=self._cost, default=None)
 
     def _rank(self, worker):
         """Puts a worker where it stands now: the fleet is never ranked for a req."""
@@ -377,6 +375,8 @@
 
     def _cost(self, worker):
         away = ELSEWHERE if worker.zone != self.set.zone else 1.0
+        # One not met of late needs a handshake: its price in usual times, about QUICK of the target each.
+        away += self.set.handshake / QUICK * (worker.slowness.n < MET)
         # A cold worker that has earned a piece comes first: those just proven good would leave it none.
         chance = (0.5 if self._cold(worker) else 1.0) * (1.0 + 0.05 * self.random.random())
         return worker.slowness.read(self.now) * (worker.out + 1.0) * away * chance
--- a/fernyard/interface.py
+++ b/fernyard/interface.py
@@ -91,6 +91,7 @@
     fall_multiple: float
     warm_up: int
     most_units: float = 1.0     # that one req may take
+    handshake: float = 0.0      # price of a new connection, in reqs' values
     whole: bool = True      # told totals are of all gatekeepers, and not of one's own leases
 
 
--- a/fernyard/settings/read.py
+++ b/fernyard/settings/read.py
@@ -42,6 +42,7 @@
             cold_share=rules["coldShare"], fall_multiple=rules["fallMultiple"],
             warm_up=tenths(rules["warmUpMs"]),
             most_units=extra.get("maxUnits") or 1,
+            handshake=max(0.0, told.get("prices", {}).get("handshake", 0.0)),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as why:
         raise BadSettings(f"the settings cannot be read: {type(why).__name__}: {why}") from None
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -238,6 +238,16 @@
         self.roster(machine(1))
         self.kept("ceiling_promise")
 
+    def test_a_worker_met_of_late_is_used_before_one_that_needs_a_handshake(self):
+        # With few reqs each, forty gatekeepers went round all workers and opened a connection for every second req.
+        for handshake in 0.0, 0.2:
+            self.launch(*map(machine, range(9)), handshake=handshake)
+            for req in range(1, 9):
+                self.arrive(req)
+                self.end(req, worker=int(self.lines[-1].split()[-1]), took=2000)
+            used = {line.split()[-1] for line in self.lines if "dispatch" in line}
+            self.assertEqual(len(used) > 4, not handshake, used)
+
     def test_where_a_share_would_deny_the_previous_bucket_is_read_though_the_counter_is_crowded(self):
         # A tenth of the reqs of a plan were denied for want of one call, with most of their quota unused.
         self.launch(plans=(replace(CEILING, rate=4.0, burst=10.0, ceiling_rate=9.0, ceiling_depth=22.0),))
