--- a/fernyard/discovery/watch.py
+++ b/fernyard/discovery/watch.py
@@ -54,12 +54,16 @@
         while True:
             asked = asyncio.get_running_loop().time()
             try:
-                version, told = await self._ask(address, version, pace.patience)
+                since = version
+                version, told = await self._ask(address, since, pace.patience)
                 failed = False
                 pace.answered()
                 if self.next is asyncio.current_task():
                     self.task.cancel()
                     self.task, self.next, self.address = self.next, None, address
+                if since is not None and version < since and not told.whole:
+                    # It counts anew, having lost what it had: changes since then would be missed until it is as far.
+                    version = None
                 if told.whole or told.machines:
                     self.report(told)
                 elif asyncio.get_running_loop().time() - asked < self.limits.watch_pause:
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -356,6 +356,17 @@
                          ["/v1/servers?since=41", "/v1/servers?since=41", "/v1/servers?since=42"])
         self.assertEqual([told.machines for told in self.events], [None])
 
+    async def test_a_discovery_that_counts_anew_is_asked_for_the_whole_list(self):
+        replies = iter((answer(200, "", b'{"generation":2,"reset":false,"instances":[]}'),
+                        answer(200, "", b'{"generation":2,"reset":true,"instances":[]}'), asyncio.sleep(30)))
+        far = await self.stand_in(lambda message: next(replies))
+        watch = Watch(f"{HOST}:{far.port}", self.config().machines, self.config().limits, self.events.append, 41, 7)
+        watch.start()
+        self.addAsyncCleanup(watch.close)
+        await self.until(lambda: len(far.messages) == 3)
+        asked = [message[0].split()[1].partition("&")[0] for message in far.messages]
+        self.assertEqual(asked, ["/v1/servers?since=41", "/v1/servers", "/v1/servers?since=2"])
+
     async def test_those_turned_away_together_come_again_ever_later_and_at_moments_of_their_own(self):
         class TurnedDown(Watch):
             async def _ask(self, *told):
