--- a/fernyard/lab/virtual.py
+++ b/fernyard/lab/virtual.py
@@ -159,7 +159,7 @@
         self.reducer = Reducer(config, self.counts, between=make_between(config, lab.operator),
                                lateness=make_lateness(config, lab.operator))
         self.reader = Reader(config, lab.routes)
-        self.alarm, self.alive = None, True
+        self.alarm, self.alive, self.since = None, True, lab.now
         self.waiting, self.number = {}, 0         # number of a req -> its arrival
         # Events not dealt with yet, whether one is, and how many times what it costs elsewhere one costs here.
         self.pending, self.busy, self.slower = deque(), False, 1.0
@@ -176,8 +176,7 @@
         """Asks a discovery that must be asked, as the watch does: for what is newer than the list it has."""
         if not self.alive:
             return
-        news = [entry for generation, entry in self.lab.news.values() if generation > self.told]
-        end, at = self.lab.crowd.ask(self.lab.now, len(news))
+        end, at = self.lab.crowd.ask(self.lab.now, len(self.missed()))
         limit = self.lab.now + int((self.config.limits.watch + self.pace.patience) * SECOND)
         if end != "answered":
             crowded = at <= limit               # else it went away before it was turned away
@@ -196,7 +195,11 @@
             self.pace.answered()
             self.lab.listening.add(self)
             self.lab.listened.append(self.lab.now - self.since)
-            self.lab.tell(self, [entry for generation, entry in self.lab.news.values() if generation > self.told])
+            self.lab.tell(self, self.missed())
+
+    def missed(self):
+        """The entries changed since the list it has."""
+        return [entry for generation, entry in self.lab.news.values() if generation > self.told]
 
     def listen_for_lag(self):
         due = self.lab.now + LAG_BEAT
@@ -565,9 +568,7 @@
                                          list(self.had[n][1].values())))
 
     def _start(self, n):
-        started = Fleeted(self, n, self._config(n))
-        started.since = self.now
-        return started
+        return Fleeted(self, n, self._config(n))
 
     def run(self):
         scenario = self.scenario
@@ -576,7 +577,6 @@
         # Asked for the list: who hears changes, after how long each start did, the newest change of each worker.
         self.crowd = Crowded(scenario.discovery) if scenario.discovery else None
         self.listening, self.listened, self.news = set(), [], {}
-        self.connections = Connections(int(0.9 * SECOND))       # 0.45 of the 2 s that workers keep one idle
         self.workers = {told.name: Worker(self, told) for told in scenario.workers}
         self.entries = {told.name: {
             "instanceId": told.name, "hostPort": f"127.0.0.1:{20_000 + n}", "zone": told.zone, "cell": told.cell,
@@ -587,6 +587,7 @@
             for n, address in enumerate(self.operator.forwarder.planners):
                 self.planners[address] = VirtualPlanner(self, n, self._config(n))
         self.fleet = [self._start(n) for n in range(self.count)]
+        self.connections = Connections(int(self.fleet[0].config.limits.worker_idle * SECOND))
         for gatekeeper in self.fleet:
             gatekeeper.start()
         if scenario.registry == "eureka":
@@ -638,7 +639,8 @@
         counts, deaths = {}, [late for worker in self.workers.values() for late in worker.deaths]
         waits = sorted(self.listened)
         fleet = {"connections opened, worker and second": self.connections.figures(self.scenario.duration),
-                 "cold push, of what fells one": round(result["verdict"]["cold_push"] / 2.0, 3),
+                 "cold push, of what fells one": round(
+                     result["verdict"]["cold_push"] / self.fleet[0].config.settings.fall_multiple, 3),
                  "lists asked for": self.crowd.counts if self.crowd else {},
                  "until a list is heard, s": {
                      "starts": len(waits), "median": waits[len(waits) // 2] / SECOND if waits else None,
--- a/fernyard/recovery/bound.py
+++ b/fernyard/recovery/bound.py
@@ -28,7 +28,7 @@
         worded = {"name": name, "refill": plan.rate, "burst": plan.burst, "ceilingRate": plan.ceiling_rate,
                   "capDepth": plan.ceiling_depth, "ceilingSlack": plan.ceiling_slack}
         told.append(bounds(worded, config.settings.gatekeepers, recovery, config.settings.count_timeout,
-                           config.limits.units))
+                           config.limits.units, settles=config.settings.settles))
     return [bound for bound in told if bound is not None]
 
 
@@ -70,11 +70,12 @@
             f"then {self.split_on:.4g}"]
 
 
-def bounds(plan, doors, recovery, count_timeout, most_units=1.0, halves=2, rate=None):
+def bounds(plan, doors, recovery, count_timeout, most_units=1.0, halves=2, rate=None, settles=False):
     """Bounds of one plan told as in the settings; None where it has no limit by rate. `doors`: gatekeepers that the
     customer comes through; `recovery`: `RecoverySettings`, or None where recovery is off; `count_timeout` in tenths
     of a millisecond; `most_units` that one req may take; `rate`: the most units a second the customer is known to
-    send (None: not known)."""
+    send (None: not known); `settles`: units are settled with the answer, and told totals grant nothing of a
+    ceiling."""
     if not plan.get("refill"):
         return None
     length, limit = bucket_of(plan)
@@ -90,7 +91,7 @@
     whole = passes(length)
     # Without an answer only the shares grant, beside what told totals granted in the bucket before they stopped.
     unheard = whole
-    if plan.get("ceilingRate"):
+    if plan.get("ceilingRate") and not settles:
         told = Plan(plan["refill"], plan.get("burst", 0.0), 0, plan["ceilingRate"], depth, plan.get("ceilingSlack", 0.0))
         sure = sure_part(told, doors, length * SECOND, limit, most_units)
         unheard = min(whole, ceiling(length) + told.ceiling_slack * (sure > 0) - sure)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -218,6 +218,8 @@
         # The hard ceiling holds whatever the counter does: of 100 and 25 a second in 5 s, told totals grant 54 at once
         # and 54 a bucket, the shares the rest; before they stopped, totals may have granted 54 in the bucket.
         self.assertEqual(bounds(PLENA, 8, None, 600).away_shifting, 225.0 - 54.0 - 54.0 + 54.0)
+        # Where units are settled with the answer, the doors share the whole.
+        self.assertEqual(bounds(PLENA, 8, None, 600, settles=True).away_shifting, 225.0)
         self.assertIsNone(bounds({"name": "free"}, 8, None, 600))
 
 
