--- a/fernyard/clients/connections.py
+++ b/fernyard/clients/connections.py
@@ -91,16 +91,17 @@
         self.loop.remove_reader(self.listener)
 
     def _accept(self):
+        """Takes in what waits, so many at once at most; whether more may wait."""
         for taken in range(AT_ONCE):
             if self.open >= self.limits.clients:
                 if taken:       # whether another waits is told anew
-                    return
+                    return False
                 if not self._make_room():
                     return self._wait()
             try:
                 made, _ = self.listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                return False
             except OSError as why:
                 if why.errno not in NO_DESCRIPTOR:
                     raise
@@ -110,6 +111,7 @@
             made.setblocking(False)
             self.open += 1
             self.loop.create_task(self._set_up(made))
+        return True
 
     async def _set_up(self, made):
         try:
@@ -193,6 +195,9 @@
 
     def stop_listening(self):
         if self.listener is not None:
+            # What the machine has accepted for us is taken: else the reqs on it would be lost with the listener.
+            while self.open < self.limits.clients and self._accept():
+                pass
             self.loop.remove_reader(self.listener)
             self.sweeper.cancel()
             self.listener.close()
--- a/fernyard/node/reducer.py
+++ b/fernyard/node/reducer.py
@@ -23,6 +23,7 @@
 
 log = structlog.get_logger(__name__)
 PASSED, DENIED, ABORTED = 200, 429, 502
+BEFORE_KILLED = 500                # before the process may be killed, the last answer is written
 CLOSING, BEAT = 0, -1              # timers of our own; those of the decisions have numbers from 1
 
 
@@ -80,7 +81,7 @@
         self.gatekeeper = gatekeeper or Gatekeeper()
         self.now, self.effects, self.held, self.addresses = 0, [], {}, {}
         self.timers, self.overtaken = [], []
-        self.owed, self.stopping, self.closing = 0, False, False
+        self.owed, self.stopping, self.closing, self.killed_at = 0, False, False, None
 
     def start(self, now):
         """The first happenings: the settings, and the list as it was had last."""
@@ -127,12 +128,16 @@
         self.held[req.number] = Held(req)
         self.owed += 1
         self.counts.add("taken")
+        left = req.left
+        if self.stopping:
+            # Clients go on sending on connections that stay open: what a kill would find unanswered is answered before.
+            left = max(1, min(left, self.killed_at - self.now - BEFORE_KILLED))
         if self.lateness is not None:
             share = self.config.settings.plans[req.plan].rate / req.doors
-            if not self.lateness.step(self.now, Offered(req.customer, req.units, req.left, share)):
+            if not self.lateness.step(self.now, Offered(req.customer, req.units, left, share)):
                 self.counts.add("denied_late")
                 return self._answer(req.number, DENIED, return_in=self.config.settings.longest_return)
-        arrived = i.Arrived(req.number, req.frontend, req.plan, req.customer, req.left, req.units, req.doors)
+        arrived = i.Arrived(req.number, req.frontend, req.plan, req.customer, left, req.units, req.doors)
         self._decide(arrived, req.number)
 
     def _late(self, event):
@@ -213,6 +218,7 @@
     def _stop(self, _):
         if not self.stopping:
             self.stopping = True
+            self.killed_at = self.now + int(self.config.limits.killed * 10_000)
             self.effects.append(LastAnswers())
             heappush(self.timers, (self.now + int(self.config.limits.accept_after_stop * 10_000), CLOSING, None))
 
--- a/fernyard/settings/limits.py
+++ b/fernyard/settings/limits.py
@@ -25,6 +25,7 @@
     whole_req: float           # a client connection new, or with part of a req, for so long is closed
     first_room: float          # a new one that has sent nothing for so long makes room first
     sweep: float               # between two looks at what has stood too long
+    worker_rest: float         # a worker connection just answered is not used again for so long
     worker_idle: float         # a worker connection that stood idle so long is not used again
     connect: float             # a connection not up by then never came up
     count: float               # a call to the counter unanswered by then is given up
@@ -38,6 +39,7 @@
     watch_spread: float        # within which gatekeepers started together ask for the first time
     watch_pause: float         # between two tries after discovery could not be reached
     accept_after_stop: float   # after SIGTERM new connections keep coming
+    killed: float              # after SIGTERM the process may be killed from then on
     longest_wait: float        # of a client, whatever it says
     grain: float               # timers due so close together ring together
     flush: float               # for the last answers to be written
@@ -58,7 +60,7 @@
             answer=0.15, answer_head=16 * 1024,
             counters=min(4, max(1, sockets // 64)), backlog=512, line=4096, lines=64, ids=2048,
             units=extra.get("maxUnits") or 1e6, client_idle=4.0, whole_req=2.0, first_room=0.1, sweep=0.25,
-            worker_idle=min(60.0, 0.45 * allowed.get("connIdleMs", 15_000) / 1000),
+            worker_rest=0.01, worker_idle=min(60.0, 0.45 * allowed.get("connIdleMs", 15_000) / 1000),
             connect=allowed.get("connectTimeoutMs", 250) / 1000,
             count=extra.get("counterTimeoutMs", 50) / 1000,
             counter_silence=1.0, counter_pause=0.1, counter_owed=2000,
@@ -67,5 +69,6 @@
             # what a gatekeeper has not asked for yet counts as told, and it asks at once.
             watch_longest_pause=max(0.1, min(10.0, 0.25 * fleet)), watch_spread=min(3.0, 0.1 * fleet),
             watch_pause=0.1,
-            accept_after_stop=0.5, longest_wait=2 * longest / 1000, grain=0.004, flush=0.5,
+            accept_after_stop=0.5, killed=min(3.0, longest / 1000) + 0.7, longest_wait=2 * longest / 1000,
+            grain=0.004, flush=0.5,
         )
--- a/fernyard/workers/connections.py
+++ b/fernyard/workers/connections.py
@@ -46,6 +46,8 @@
         if not data:            # the library reads on in what it holds
             return super().data_received(data)
         if not self.due:
+            if self.used:
+                self.idle.stray(self._loop.time(), self._loop.time() - self.used)
             return self.transport is None or self.transport.abort()
         while data and self.due:
             data = self._read_head(data) if self.left is None else self._read_body(data)
@@ -91,6 +93,11 @@
             self.idle.tell(self.span, True)
         super().connection_lost(why)
 
+    def resting(self):
+        """A second answer to the req before may still come: it would be taken for the next req's."""
+        now = self._loop.time()
+        return bool(self.used) and now - self.used < self.idle.rest(now)
+
     def usable(self):
         """Nothing came on it, not even its end, that was not read; and it stood idle for no longer than goes
         well."""
@@ -130,9 +137,22 @@
     shunned while its part is well above that of connections just made or just used."""
 
     SPANS, FADE, LEAST, WORSE = (0.03, 0.1, 0.3, 1.0, 3.0, 10.0), 0.97, 6.0, 0.08
+    LONGEST_REST, REMEMBERED = 0.1, 60.0
+
+    def __init__(self, rest=0.0):
+        """`rest`: for how long a connection is let alone after each answer, in seconds, since a second one may come some
+        milliseconds behind it; twice the longest seen of late where they come later."""
+        self.told, self.least = [[0.0, 0.0] for _ in (*self.SPANS, None)], rest
+        self.behind, self.seen = 0.0, 0.0           # the latest second answer, and when one was seen last
 
-    def __init__(self):
-        self.told = [[0.0, 0.0] for _ in (*self.SPANS, None)]
+    def stray(self, now, behind):
+        """Something came on a connection that owed nothing, so long after its answer."""
+        self.behind = max(behind, self.behind if now - self.seen < self.REMEMBERED else 0.0)
+        self.seen = now
+
+    def rest(self, now):
+        late = 2 * self.behind if now - self.seen < self.REMEMBERED else 0.0
+        return max(self.least, min(self.LONGEST_REST, late))
 
     def span(self, idle):
         return sum(idle >= span for span in self.SPANS)
@@ -154,7 +174,7 @@
     waits unread or that has stood idle for too long."""
 
     def __init__(self, limits):
-        self.names, self.idle, self.open = Names(limits.workers_known), Idle(), 0
+        self.names, self.idle, self.open = Names(limits.workers_known), Idle(limits.worker_rest), 0
         super().__init__(
             limit=0, socket_factory=self._socket, keepalive_timeout=limits.worker_idle, ssl=False,
             family=socket.AF_INET, happy_eyeballs_delay=None, resolver=self.names, use_dns_cache=False)
@@ -166,11 +186,19 @@
         made.owner, self.open = self, self.open + 1
         return made
 
+    async def _get(self, key, traces):
+        """The kept connection used last, or the one that has stood longest where that one rests; none where all do."""
+        kept = self._conns.get(key)
+        if kept:
+            kept.rotate(1)          # the library takes the one that has stood longest
+            if kept[0][0].resting():
+                kept.rotate(-1)
+                if kept[0][0].resting():
+                    return None     # another is opened
+        return await super()._get(key, traces)
+
     async def connect(self, req, *told, **named):
         while True:
-            kept = self._conns.get(req.connection_key)
-            if kept:
-                kept.rotate(1)      # the library takes the one that has stood longest
             connection = await super().connect(req, *told, **named)
             if connection.protocol.usable():
                 return connection
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -7,8 +7,11 @@
 import asyncio
 import difflib
 import itertools
+import json
 import logging
 import os
+import sys
+import tempfile
 import unittest
 from dataclasses import replace
 from pathlib import Path
@@ -281,3 +284,40 @@
             if asyncio.get_running_loop().time() > end:
                 self.fail("waited for in vain")
             await asyncio.sleep(0.005)
+
+
+class Processes(Sockets):
+    """Programs in processes of their own."""
+
+    async def start(self, told, *arguments):
+        with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
+            file.write(told if isinstance(told, str) else json.dumps(told))
+        self.addCleanup(os.unlink, file.name)
+        self.file = file.name
+        program = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-m", "fernyard", *(arguments or ("serve",)),
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "EDGE_CONFIG": file.name})
+        self.addAsyncCleanup(self.stop, program)
+        return program
+
+    async def free_port(self):
+        port = (await self.stand_in(None)).port
+        self.opened.pop().server.close()
+        return port
+
+    async def listening(self, port):
+        """The first connection to the program, once it listens."""
+        self.port = port
+        while True:
+            try:
+                return await self.connect(port)
+            except OSError:
+                await asyncio.sleep(0.02)
+
+    @staticmethod
+    async def stop(program):
+        """A test that failed leaves none running."""
+        if program.returncode is None:
+            program.kill()
+            await program.communicate()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -22,7 +22,7 @@
 from fernyard.settings import read_config
 from fernyard.workers import Outcome
 
-from .helper import (CUSTOMER, HOST, PASSED, SETTINGS, Sockets, Traced, configuration, entry, read_call,
+from .helper import (CUSTOMER, HOST, PASSED, SETTINGS, Processes, Sockets, Traced, configuration, entry, read_call,
                      request)
 
 
@@ -259,42 +259,9 @@
         self.kept("counter_calls")     # added, the bucket before read, taken back
 
 
-class Program(Sockets):
+class Program(Processes):
     """The program itself, in a process of its own."""
 
-    async def start(self, told, *arguments):
-        with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
-            file.write(told if isinstance(told, str) else json.dumps(told))
-        self.addCleanup(os.unlink, file.name)
-        self.file = file.name
-        program = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", "-m", "fernyard", *(arguments or ("serve",)),
-            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "EDGE_CONFIG": file.name})
-        self.addAsyncCleanup(self.stop, program)
-        return program
-
-    async def free_port(self):
-        port = (await self.stand_in(None)).port
-        self.opened.pop().server.close()
-        return port
-
-    async def listening(self, port):
-        """The first connection to the program, once it listens."""
-        self.port = port
-        while True:
-            try:
-                return await self.connect(port)
-            except OSError:
-                await asyncio.sleep(0.02)
-
-    @staticmethod
-    async def stop(program):
-        """A test that failed leaves none running."""
-        if program.returncode is None:
-            program.kill()
-            await program.communicate()
-
     async def test_a_planned_end_answers_all_that_was_taken(self):
         # Nothing here goes by time: the worker answers once both reqs have reached it (with a fixed 0.9 s, and
         # 0.2 s until the second, a loaded machine waited in vain).
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -23,7 +23,8 @@
 
 class Workers(Sockets):
     async def pool(self, **limits):
-        pool = WorkerPool(self.config(limits).limits, self.events.append)
+        # Without a rest after each answer, unless a test is about it: else when a connection is used goes by time.
+        pool = WorkerPool(self.config({"worker_rest": 0.0, **limits}).limits, self.events.append)
         pool.start()
         self.addAsyncCleanup(pool.close)
         return pool
