--- a/fernyard/__main__.py
+++ b/fernyard/__main__.py
@@ -15,6 +15,7 @@
 import click
 
 from . import __version__
+from .errors import FernyardError
 from .settings import BadSettings, config_path, load_config
 
 LEVELS = ("debug", "info", "warning", "error")
@@ -70,15 +71,17 @@
     if role == "planner":
         from .plan.server import PlannerNode
         if config.counter is None:
-            raise BadSettings("a planner needs a counter, and the configuration names none")
+            raise BadSettings("a planner needs a counter, and the configuration names none", path, "name `counter` in it")
         lease = operator.planner.lease_s if operator and operator.planner else 2.0
         recovery = None
         if operator is not None:
             from .settings.operator import planner_recovery
             recovery = planner_recovery(operator, config)
-        return asyncio.run(PlannerNode(config, int(lease * 10_000), recovery).run())
+        accord = operator.accord.planner(config, operator) if operator and operator.accord else None
+        return asyncio.run(PlannerNode(config, int(lease * 10_000), recovery, accord).run())
     if role == "forwarder" and (operator is None or operator.forwarder is None):
-        raise BadSettings("a forwarder needs [forwarder] in the operator's file")
+        raise BadSettings("a forwarder needs to know its planners", do=(
+            "give --operator FILE (or FERNYARD_OPERATOR) with a section [forwarder]"))
     if role == "gatekeeper" and operator is not None and operator.forwarder is not None:
         operator = operator.model_copy(update={"forwarder": None})     # one file may serve every role
     from .node import Node
@@ -138,8 +141,12 @@
         return why.exit_code
     except click.exceptions.Abort:
         return 1
-    except (BadSettings, OSError) as why:
-        print(f"fernyard: {' '.join(str(why).split())}", file=sys.stderr)
+    except FernyardError as why:
+        print(f"fernyard: {why}", file=sys.stderr)
+        return 2
+    except OSError as why:
+        # An address that is taken, a port that this user may not have, a file that went away.
+        print(f"fernyard: {' '.join(str(why).split())} (free the address or file named, or name another)", file=sys.stderr)
         return 2
     return 0
 
--- a/fernyard/clients/read.py
+++ b/fernyard/clients/read.py
@@ -25,6 +25,10 @@
         self.status = status
 
 
+class BadFigure(ValueError):
+    """A header that holds no such number; its req is malformed."""
+
+
 class Reader:
     def __init__(self, config, routes=None, unmatched=None):
         """`routes`: a `RouteTable` in place of the protocol's own paths; `unmatched`: (frontend, units) of a req that it
@@ -109,11 +113,11 @@
 
 def _number(text):
     if not NUMBER.fullmatch(text):
-        raise ValueError(text)
+        raise BadFigure(text)
     return float(text)
 
 
 def _whole(text):
     if not WHOLE.fullmatch(text):
-        raise ValueError(text)
+        raise BadFigure(text)
     return int(text)
--- a/fernyard/counter/links.py
+++ b/fernyard/counter/links.py
@@ -8,6 +8,7 @@
 import hiredis
 import structlog
 
+from ..errors import FernyardError
 from ..interface import End
 
 log = structlog.get_logger(__name__)
@@ -24,6 +25,10 @@
     took: int
 
 
+class BadAnswer(FernyardError, ValueError):
+    """What the counter said is no total and no refusal."""
+
+
 class Counter:
     """All calls of one name go over one connection, so their answers come in the order of the calls."""
 
@@ -185,11 +190,11 @@
         if isinstance(answer, hiredis.ReplyError):
             end = REFUSALS.get(str(answer).partition(" ")[0])
             if end is None:
-                raise ValueError(answer)
+                raise BadAnswer(answer)
             return (end,)
         total = float(answer)
         if not math.isfinite(total):
-            raise ValueError(answer)
+            raise BadAnswer(answer)
         return End.PASSED, total
 
     def connection_lost(self, why):
--- a/fernyard/discovery/eureka/listing.py
+++ b/fernyard/discovery/eureka/listing.py
@@ -12,12 +12,14 @@
 from defusedxml import ElementTree
 from defusedxml.common import DefusedXmlException
 
+from ...errors import FernyardError
+
 STATUSES = ("UP", "DOWN", "STARTING", "OUT_OF_SERVICE", "UNKNOWN")
 ACTIONS = ("ADDED", "MODIFIED", "DELETED")
 MOST_INSTANCES = 20_000
 
 
-class BadListing(ValueError):
+class BadListing(FernyardError, ValueError):
     """Bytes that are no answer of a registry."""
 
 
@@ -92,10 +94,10 @@
     # A registry that holds an override says so beside the instance's own status; the override is what counts.
     status = override if override in STATUSES and override != "UNKNOWN" else status
     if status not in STATUSES or reported not in STATUSES:
-        raise ValueError(f"status {status!r}")
+        raise BadListing(f"status {status!r}")
     action = entry.get("actionType") or "ADDED"
     if action not in ACTIONS:
-        raise ValueError(f"actionType {action!r}")
+        raise BadListing(f"actionType {action!r}")
     zone = metadata.get(zone_key) or (centre.get("availability-zone") if isinstance(centre, dict) else None)
     return Instance(
         name, _text(entry.get("instanceId") or entry.get("hostName")), _address(entry), status,
@@ -110,20 +112,20 @@
     port = entry.get("port")
     port = _whole(port["$"] if isinstance(port, dict) else port)
     if not 0 < port < 65536 or any(c in host for c in "/@?# \t\r\n"):
-        raise ValueError(f"address {host!r}:{port}")
+        raise BadListing(f"address {host!r}:{port}")
     return f"{host}:{port}"
 
 
 def _text(value):
     if not isinstance(value, str) or not value or len(value) > 256 or not value.isprintable():
-        raise ValueError(f"{value!r} is no name")
+        raise BadListing(f"{value!r} is no name")
     return value
 
 
 def _whole(value):
     number = float(value)
     if isinstance(value, bool) or not math.isfinite(number) or not 0 <= number < 1 << 53:
-        raise ValueError(f"{value!r} is no number")
+        raise BadListing(f"{value!r} is no number")
     return int(number)
 
 
@@ -131,7 +133,7 @@
     """The XML form as the JSON one has it."""
     root = ElementTree.fromstring(data)
     if root.tag != "applications":
-        raise ValueError(f"<{root.tag}>")
+        raise BadListing(f"<{root.tag}>")
     top = {"apps__hashcode": root.findtext("apps__hashcode"), "application": []}
     for app in root.findall("application"):
         top["application"].append({"name": app.findtext("name"),
@@ -141,5 +143,5 @@
 
 def _element(element, depth=0):
     if depth > 8:
-        raise ValueError("nested too deep")
+        raise BadListing("nested too deep")
     return {child.tag: _element(child, depth + 1) if len(child) else (child.text or "") for child in element}
--- a/fernyard/discovery/watch.py
+++ b/fernyard/discovery/watch.py
@@ -7,6 +7,7 @@
 import aiohttp
 import structlog
 
+from ..errors import FernyardError
 from ..interface import Machine
 from .pace import Pace
 
@@ -22,10 +23,14 @@
     addresses: dict | None = None
 
 
-class TurnedAway(Exception):
+class TurnedAway(FernyardError):
     """Discovery has more calls than it can take."""
 
 
+class Unreadable(FernyardError, ValueError):
+    """Discovery answered, and with no list."""
+
+
 class Watch:
     def __init__(self, address, machines, limits, report, version=None, seed=0):
         """`version`: of the list that the gatekeeper starts with, or None where it has none."""
@@ -86,7 +91,7 @@
                 if answer.status in (429, 503):
                     raise TurnedAway(f"status {answer.status}")
                 if answer.status != 200:
-                    raise ValueError(f"status {answer.status}")
+                    raise Unreadable(f"status {answer.status}")
                 version, whole, machines, addresses = self.machines.read(json.loads(await answer.read()))
         return version, Told(whole, machines, addresses)
 
--- a/fernyard/plan/server.py
+++ b/fernyard/plan/server.py
@@ -15,7 +15,7 @@
 from ..recovery import Answered, Asked, Beat, Bring, Tell
 from .planner import Ask, Grant, Planner
 from .shape import planner_settings
-from .wire import LARGEST, PATH, PROTOCOL, BadMessage, read_ask, write_grant
+from .wire import LARGEST, PATH, PROTOCOL, PROTOCOL_2, BadMessage, is_version_2, read_ask, write_grant
 
 log = structlog.get_logger(__name__)
 MOST_CONNECTIONS, MOST_OUT = 4096, 64       # of forwarders; asks in hand on one
@@ -24,10 +24,11 @@
 class PlannerNode:
     """Serves until SIGTERM. `GET /healthz` is 200 from the first call that may be answered to the last."""
 
-    def __init__(self, config, lease, recovery=None):
+    def __init__(self, config, lease, recovery=None, accord=None):
         """`config`: as the gatekeepers' (its `listen` is where asks come in); `lease` in tenths of a millisecond;
-        `recovery`: a `Recovery` that stands between the planner and the counter, or None."""
-        self.recovery = recovery
+        `recovery`: a `Recovery` that stands between the planner and the counter, or None; `accord(clock, counts)` makes its
+        `AccordNode`, or None."""
+        self.recovery, self.make_accord, self.accord = recovery, accord, None
         self.config, self.counts, self.clock = config, Counts(), Clock()
         # A start of its own: no lease of the process before this one can be taken for one of ours.
         self.planner = Planner(planner_settings(config.settings, secrets.randbits(48), lease))
@@ -48,6 +49,9 @@
             await site.start()
             self.port = site._server.sockets[0].getsockname()[1]
             self.counter.start()
+            if self.make_accord is not None:
+                self.accord = self.make_accord(self.clock, self.counts)
+                self.accord.start()
             self._ring()
             log.info("planner_ready", listen="%s:%d" % (self.config.listen[0], self.port), pid=os.getpid())
             await self.stopped.wait()
@@ -62,6 +66,8 @@
                 self.alarm.cancel()
             await runner.cleanup()
             self.counter.close()
+            if self.accord is not None:
+                await self.accord.close()
         self.counts.print()
 
     def _stop(self):
@@ -75,8 +81,10 @@
             return self._refused(404, "path")
         if self.stopping or len(self.connections) >= MOST_CONNECTIONS:
             return self._refused(503, "busy")
-        socket = web.WebSocketResponse(protocols=(PROTOCOL,), max_msg_size=LARGEST, compress=False)
-        if not socket.can_prepare(request) or socket.can_prepare(request).protocol != PROTOCOL:
+        # Where there is no order to follow, only version 1 is spoken: whoever asks for more goes on alone.
+        known = (PROTOCOL,) if self.accord is None else (PROTOCOL_2, PROTOCOL)
+        socket = web.WebSocketResponse(protocols=known, max_msg_size=LARGEST, compress=False)
+        if not socket.can_prepare(request) or socket.can_prepare(request).protocol not in known:
             return self._refused(400, "protocol")
         await socket.prepare(request)
         self.connections[socket] = 0
@@ -88,10 +96,14 @@
 
     async def _receive(self, socket):
         """Asks as they come; what is no ask ends the connection."""
+        planner = None                      # which one the other side said to be
         async for message in socket:
             try:
                 if message.type is not WSMsgType.BINARY:
                     raise BadMessage("not binary")
+                if socket.ws_protocol == PROTOCOL_2 and is_version_2(message.data):
+                    planner = self.accord.hear(message.data, planner, lambda data: self._reply(socket, data))
+                    continue
                 forwarder, ask, wants = read_ask(message.data)
             except BadMessage:
                 self.counts.add("refused", "message")
@@ -118,7 +130,12 @@
         if socket is None or socket not in self.connections:
             return
         self.connections[socket] -= 1
-        task = self.loop.create_task(self._send(socket, write_grant(ask, granted)))
+        self._reply(socket, write_grant(ask, granted))
+
+    def _reply(self, socket, data):
+        if socket not in self.connections:
+            return
+        task = self.loop.create_task(self._send(socket, data))
         self.sending[task] = None
         task.add_done_callback(self.sending.pop)
 
--- a/fernyard/plan/wire.py
+++ b/fernyard/plan/wire.py
@@ -12,9 +12,11 @@
 
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
 
+from ..errors import FernyardError
 from .forwarder import Granted, Want
 
 VERSION, PATH, PROTOCOL = 1, "/v1/leases", "fernyard.leases.1"
+PROTOCOL_2 = "fernyard.leases.2"        # version 1 and the messages of `accord.wire` on one connection
 MOST_WANTS, LARGEST = 1_000, 256 * 1024     # names in a message, its bytes
 
 Name = Annotated[int, Field(ge=0, lt=1 << 63)]
@@ -42,7 +44,7 @@
 ASK, GRANT = TypeAdapter(AskMessage), TypeAdapter(GrantMessage)
 
 
-class BadMessage(ValueError):
+class BadMessage(FernyardError, ValueError):
     """Bytes that are no message of this version."""
 
 
@@ -58,6 +60,11 @@
         granted=[(g.name, g.lease, float(g.units), g.until, g.full, g.away) for g in granted]))
 
 
+def is_version_2(data):
+    """Written by `accord.wire`: what is no message is refused by whoever reads it."""
+    return data.startswith(b'{"v":2,')
+
+
 def read_ask(data):
     """(forwarder, ask, wants); a name may stand in it once."""
     told = _read(ASK, data)
--- a/fernyard/routes/description.py
+++ b/fernyard/routes/description.py
@@ -22,6 +22,7 @@
 
 import yaml
 
+from ..errors import FernyardError
 from ..interface import Repeat
 from .table import Operation, RouteTable, Variant
 
@@ -32,8 +33,14 @@
 X = "x-fernyard-"
 
 
-class BadDescription(ValueError):
-    """A description that cannot be used; the text says where and why, in one line."""
+class BadDescription(FernyardError, ValueError):
+    """A description that cannot be used."""
+
+    DO = "mend the description; the one read before stays in use, and at start none does"
+
+
+class BadOperation(FernyardError, ValueError):
+    """One operation, or one of its parts, that cannot be used; told as a `BadDescription` with its place."""
 
 
 class Loader(getattr(yaml, "CSafeLoader", yaml.SafeLoader)):
@@ -61,7 +68,7 @@
     told = dict(pairs)
     if len(told) < len(pairs):
         names = [name for name, _ in pairs]
-        raise ValueError(f"{next(n for n in names if names.count(n) > 1)!r} stands twice")
+        raise BadOperation(f"{next(n for n in names if names.count(n) > 1)!r} stands twice")
     return told
 
 
@@ -85,7 +92,7 @@
 def read_text(text, where="description"):
     """The document that JSON or YAML text holds: objects, lists and scalars, bounded in size and depth."""
     if len(text) > LARGEST:
-        raise BadDescription(f"{where}: over {LARGEST} bytes")
+        raise BadDescription(f"over {LARGEST} bytes", where)
     try:
         if text.lstrip()[:1] == "{":
             try:
@@ -96,13 +103,13 @@
             told = yaml.load(_scanned(text), Loader)
     except yaml.MarkedYAMLError as why:
         line = why.problem_mark.line + 1 if why.problem_mark else "?"
-        raise BadDescription(f"{where}: line {line}: {why.problem}") from None
+        raise BadDescription(f"line {line}: {why.problem}", where) from None
     except (yaml.YAMLError, ValueError, TypeError) as why:
-        raise BadDescription(f"{where}: {' '.join(str(why).split())}") from None
+        raise BadDescription(f"{' '.join(str(why).split())}", where) from None
     except RecursionError:
-        raise BadDescription(f"{where}: nested too deep") from None
+        raise BadDescription(f"nested too deep", where) from None
     if not isinstance(told, dict):
-        raise BadDescription(f"{where}: no object")
+        raise BadDescription(f"no object", where)
     _bounded(told, where)
     return told
 
@@ -113,16 +120,16 @@
     while stack:
         value, depth = stack.pop()
         if depth > DEEPEST:
-            raise BadDescription(f"{where}: nested deeper than {DEEPEST}")
+            raise BadDescription(f"nested deeper than {DEEPEST}", where)
         if isinstance(value, dict):
             to = value.get("$ref")
             if isinstance(to, str) and not to.startswith("#/"):
-                raise BadDescription(f"{where}: $ref {to!r}: only references in the file are followed")
+                raise BadDescription(f"$ref {to!r}: only references in the file are followed", where)
             stack += [(inner, depth + 1) for inner in value.values()]
         elif isinstance(value, list):
             stack += [(inner, depth + 1) for inner in value]
         elif isinstance(value, float) and not math.isfinite(value):
-            raise BadDescription(f"{where}: a number that is none")
+            raise BadDescription(f"a number that is none", where)
 
 
 def load_description(path, frontends, repeats, most_units):
@@ -130,12 +137,12 @@
     path = Path(path)
     try:
         if path.stat().st_size > LARGEST:
-            raise BadDescription(f"{path}: over {LARGEST} bytes")
+            raise BadDescription(f"over {LARGEST} bytes", path)
         text = path.read_text()
     except OSError as why:
-        raise BadDescription(f"{path} cannot be read: {why.strerror}") from None
+        raise BadDescription(f"cannot be read: {why.strerror}", path) from None
     except UnicodeDecodeError:
-        raise BadDescription(f"{path}: not UTF-8") from None
+        raise BadDescription(f"not UTF-8", path) from None
     return read_description(read_text(text, str(path)), frontends, repeats, most_units, str(path))
 
 
@@ -146,10 +153,10 @@
     try:
         operations = _operations(told, frontends, repeats, most_units)
         if not operations:
-            raise ValueError("no operation")
+            raise BadOperation("no operation")
         return RouteTable(operations)
     except ValueError as why:
-        raise BadDescription(f"{where}: {why}") from None
+        raise BadDescription(str(why), where) from None
 
 
 def _valid(told, where):
@@ -157,19 +164,19 @@
     version = str(told.get("openapi", ""))
     kind = {"3.0": OpenAPIV30SpecValidator, "3.1": OpenAPIV31SpecValidator}.get(version[:3])
     if kind is None:
-        raise BadDescription(f"{where}: openapi {version!r}: 3.0 and 3.1 are read")
+        raise BadDescription(f"openapi {version!r}: 3.0 and 3.1 are read", where)
     try:
         # The first error alone: past one, the validator walks into what it has just found to be no object.
         error = next(kind(told).iter_errors(), None)
     except RecursionError:
-        raise BadDescription(f"{where}: references lead round in a circle") from None
+        raise BadDescription(f"references lead round in a circle", where) from None
     except Exception as why:
         # Whatever the library meets in a document that is none, the document is at fault.
-        raise BadDescription(f"{where}: no valid description ({type(why).__name__}: {why})") from None
+        raise BadDescription(f"no valid description ({type(why).__name__}: {why})", where) from None
     if error is not None:
         at = " ".join(str(part) for part in getattr(error, "absolute_path", ())) or "top"
         message = " ".join(str(getattr(error, "message", error)).split())[:200]
-        raise BadDescription(f"{where}: {at}: {message}")
+        raise BadDescription(f"{at}: {message}", where)
 
 
 def _operations(told, frontends, repeats, most_units):
@@ -190,31 +197,31 @@
                 operations.append(_operation(key, method.upper(), base + _template(path), own,
                                              _parameters(told, item, operation), told, frontends, repeats, most_units))
             except ValueError as why:
-                raise ValueError(f"{key}: {why}") from None
+                raise BadOperation(f"{key}: {why}") from None
             if len(operations) > MOST_OPERATIONS:
-                raise ValueError(f"more than {MOST_OPERATIONS} operations")
+                raise BadOperation(f"more than {MOST_OPERATIONS} operations")
     return operations
 
 
 def _operation(key, method, template, own, parameters, told, frontends, repeats, most_units):
     frontend = own[X + "class"]
     if frontend is None:
-        raise ValueError(f"no {X}class")
+        raise BadOperation(f"no {X}class")
     if not isinstance(frontend, str) or frontend not in frontends:
-        raise ValueError(f"{X}class {frontend!r} is none of {', '.join(sorted(frontends))}")
+        raise BadOperation(f"{X}class {frontend!r} is none of {', '.join(sorted(frontends))}")
     repeat = repeats[frontends[frontend]]
     if own[X + "repeat"] not in (None, repeat.value):
-        raise ValueError(f"{X}repeat is {own[X + 'repeat']!r}, but class {frontend} is {repeat.value}")
+        raise BadOperation(f"{X}repeat is {own[X + 'repeat']!r}, but class {frontend} is {repeat.value}")
     if (repeat is Repeat.REPLAYABLE) != (method in ("GET", "HEAD")):
-        raise ValueError(f"class {frontend} is {repeat.value} and does not go with {method}")
+        raise BadOperation(f"class {frontend} is {repeat.value} and does not go with {method}")
     if method not in ("GET", "POST"):
-        raise ValueError("only GET and POST are spoken here")
+        raise BadOperation("only GET and POST are spoken here")
     if own[X + "units"] is None:
-        raise ValueError(f"no {X}units")
+        raise BadOperation(f"no {X}units")
     units = _units(own[X + "units"], most_units, X + "units")
     variants = own[X + "variants"] or ()
     if not isinstance(variants, list | tuple) or len(variants) > MOST_VARIANTS:
-        raise ValueError(f"{X}variants is no list of {MOST_VARIANTS} at most")
+        raise BadOperation(f"{X}variants is no list of {MOST_VARIANTS} at most")
     return Operation(key, method, template, frontend, units,
                      _customer(own[X + "customer"] or told.get(X + "customer"), template),
                      tuple(_variant(variant, units, most_units, parameters) for variant in variants),
@@ -223,48 +230,48 @@
 
 def _units(value, most, name):
     if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value <= most:
-        raise ValueError(f"{name} {value!r} is no number above 0 and at most {most:g}")
+        raise BadOperation(f"{name} {value!r} is no number above 0 and at most {most:g}")
     return float(value)
 
 
 def _variant(told, units, most, parameters):
     if not isinstance(told, dict) or not {"query", "units"} <= set(told) <= {"query", "equals", "units"}:
-        raise ValueError(f"{X}variants: {told!r} has not query, units and perhaps equals")
+        raise BadOperation(f"{X}variants: {told!r} has not query, units and perhaps equals")
     query, equals = told["query"], told.get("equals")
     if ("query", query) not in parameters:
-        raise ValueError(f"{X}variants: no query parameter {query!r} is described")
+        raise BadOperation(f"{X}variants: no query parameter {query!r} is described")
     if equals is not None and not isinstance(equals, str):
-        raise ValueError(f"{X}variants: equals {equals!r} is no text")
+        raise BadOperation(f"{X}variants: equals {equals!r} is no text")
     dear = _units(told["units"], most, f"{X}variants: units")
     if dear < units:
-        raise ValueError(f"{X}variants: {dear:g} units are fewer than the {units:g} of the operation")
+        raise BadOperation(f"{X}variants: {dear:g} units are fewer than the {units:g} of the operation")
     return Variant(query, equals, dear)
 
 
 def _customer(told, template):
     if not isinstance(told, dict) or set(told) != {"in", "name"} or told["in"] not in ("path", "header", "query"):
-        raise ValueError(f"no {X}customer with in (path, header or query) and name")
+        raise BadOperation(f"no {X}customer with in (path, header or query) and name")
     place, name = told["in"], told["name"]
     if not isinstance(name, str) or not TOKEN.fullmatch(name):
-        raise ValueError(f"{X}customer: {name!r} is no name")
+        raise BadOperation(f"{X}customer: {name!r} is no name")
     if place == "path" and (name,) not in template:
-        raise ValueError(f"{X}customer: the path has no parameter {name!r}")
+        raise BadOperation(f"{X}customer: the path has no parameter {name!r}")
     return place, name
 
 
 def _template(path):
     """Segments of a path template. A parameter is a whole segment."""
     if not path.startswith("/"):
-        raise ValueError(f"path {path!r} does not begin with a slash")
+        raise BadOperation(f"path {path!r} does not begin with a slash")
     template = []
     for segment in path[1:].split("/"):
         parameter = PARAMETER.fullmatch(segment)
         if parameter is None and ("{" in segment or "}" in segment):
-            raise ValueError(f"segment {segment!r}: a parameter is a whole segment here")
+            raise BadOperation(f"segment {segment!r}: a parameter is a whole segment here")
         template.append((parameter[1],) if parameter else unquote(segment))
     names = [segment for segment in template if isinstance(segment, tuple)]
     if len(set(names)) < len(names):
-        raise ValueError(f"path {path!r} has a parameter twice")
+        raise BadOperation(f"path {path!r} has a parameter twice")
     return tuple(template)
 
 
@@ -272,11 +279,11 @@
     if told is None:
         return None
     if not isinstance(told, str) or "?" in told or "#" in told or not told.isascii():
-        raise ValueError(f"{X}worker-path {told!r} is no path")
+        raise BadOperation(f"{X}worker-path {told!r} is no path")
     path = _template(told)
     for segment in path:
         if isinstance(segment, tuple) and segment not in template:
-            raise ValueError(f"{X}worker-path: the path has no parameter {segment[0]!r}")
+            raise BadOperation(f"{X}worker-path: the path has no parameter {segment[0]!r}")
     return path
 
 
@@ -285,7 +292,7 @@
     servers = told.get("servers") or [{"url": "/"}]
     path = urlsplit(str(servers[0].get("url", "/"))).path.rstrip("/")
     if "{" in path:
-        raise ValueError("servers: variables in the path are not read")
+        raise BadOperation("servers: variables in the path are not read")
     return _template(path) if path else ()
 
 
@@ -293,17 +300,17 @@
     """What a reference in the file stands for."""
     while isinstance(value, dict) and "$ref" in value:
         if not steps:
-            raise ValueError(f"$ref {value['$ref']!r} leads round in a circle")
+            raise BadOperation(f"$ref {value['$ref']!r} leads round in a circle")
         steps -= 1
         at = told
         for part in value["$ref"][2:].split("/"):
             part = unquote(part).replace("~1", "/").replace("~0", "~")
             if not isinstance(at, dict) or part not in at:
-                raise ValueError(f"$ref {value['$ref']!r} leads nowhere")
+                raise BadOperation(f"$ref {value['$ref']!r} leads nowhere")
             at = at[part]
         value = at
     if not isinstance(value, dict):
-        raise ValueError("a path item that is no object")
+        raise BadOperation("a path item that is no object")
     return value
 
 
--- a/fernyard/routes/table.py
+++ b/fernyard/routes/table.py
@@ -8,10 +8,18 @@
 from dataclasses import dataclass
 from urllib.parse import parse_qsl, quote, unquote
 
+from ..errors import FernyardError
+
 MOST_SEGMENTS = 64          # of a req's path; more are no route
 MOST_QUERY = 64             # fields of a query that are looked at; a req with more has the dearest variant
 
 
+class TwiceMatched(FernyardError, ValueError):
+    """A req could be either of two operations."""
+
+    DO = "give one of the two another path, or leave it out"
+
+
 @dataclass(frozen=True, slots=True)
 class Variant:
     """A dearer form of an operation: query parameter `query` is there (`equals` None), or has that value."""
@@ -67,7 +75,7 @@
 
 
 class RouteTable:
-    """`operations` in any order. ValueError: two have the same method and the same template but for names."""
+    """`operations` in any order. TwiceMatched: two have the same method and the same template but for names."""
 
     def __init__(self, operations):
         self.root, self.operations = Node(), tuple(operations)
@@ -81,7 +89,7 @@
                     node = node.literals.setdefault(segment, Node())
             if operation.method in node.operations:
                 other = node.operations[operation.method]
-                raise ValueError(f"{operation.key} and {other.key} match the same paths")
+                raise TwiceMatched(f"{operation.key} and {other.key} match the same paths")
             node.operations[operation.method] = operation
 
     def find(self, method, target, headers=None):
--- a/fernyard/settings/config.py
+++ b/fernyard/settings/config.py
@@ -30,9 +30,11 @@
         with open(path, "rb") as file:
             return read_config(json.load(file))
     except OSError as why:
-        raise BadSettings(f"{path} cannot be read: {why.strerror}") from None
+        raise BadSettings(f"cannot be read: {why.strerror}", path, "name a file that this user may read") from None
+    except BadSettings as why:
+        raise BadSettings(why.what, f"{path}: {why.where}" if why.where else path, why.do) from None
     except ValueError as why:
-        raise BadSettings(f"{path}: {why}") from None
+        raise BadSettings(f"is no JSON: {why}", path, "write the file again as the deployment hands it over") from None
 
 
 def read_config(told):
@@ -42,7 +44,7 @@
         known = told.get("known") or {"generation": 0, "reset": True, "instances": []}
         machines = Machines(wire.get("zones", ()))
         if settings.may_count and not told.get("counter"):
-            raise ValueError("a counter may be called and none is named")
+            raise BadSettings("a counter may be called and none is named", do="name `counter`, or set extra.mayCount to false")
         return Config(
             name=str(told["name"]), listen=address(told["listen"]),
             discovery="%s:%d" % address(told["discovery"]),
@@ -55,10 +57,12 @@
     except BadSettings:
         raise
     except (ValueError, KeyError, TypeError, AttributeError) as why:
-        raise BadSettings(f"the configuration cannot be read: {type(why).__name__}: {why}") from None
+        raise BadSettings(f"the configuration cannot be read: {type(why).__name__}: {why}",
+                          do="compare the file with the deployment page; a field is missing or of another kind") from None
 
 
 def config_path(environ=os.environ):
     if not environ.get("EDGE_CONFIG"):
-        raise BadSettings("EDGE_CONFIG names no configuration file")
+        raise BadSettings("EDGE_CONFIG names no configuration file", do=(
+            "set EDGE_CONFIG to the path of this instance's JSON file; `fernyard check FILE` tells whether one can be used"))
     return environ["EDGE_CONFIG"]
--- a/fernyard/settings/operator.py
+++ b/fernyard/settings/operator.py
@@ -58,7 +58,7 @@
     @model_validator(mode="after")
     def _in_order(self):
         if self.full <= self.begin:
-            raise ValueError("full is not above begin")
+            raise BadSettings("full is not above begin")
         return self
 
     def settings(self):
@@ -80,7 +80,7 @@
         for planner in planners:
             address(planner)
         if len(dict.fromkeys(planners)) < len(planners):
-            raise ValueError("a planner is named twice")
+            raise BadSettings("a planner is named twice")
         return planners
 
     def settings(self, config):
@@ -144,7 +144,7 @@
             return load_description(self.file, config.frontends, [f.repeat for f in config.settings.frontends],
                                     config.limits.units)
         except BadDescription as why:
-            raise BadSettings(str(why)) from None
+            raise BadSettings(why.what, why.where, why.do) from None
 
     def default(self, config):
         """(frontend, units) of a req that the description does not know, or None."""
@@ -156,6 +156,65 @@
         return frontend, self.unmatched.units
 
 
+class AccordSection(Section):
+    """One standing order agreed on by planners (docs/accord.md). `cluster`: a name of theirs; `planners`: the addresses of
+    all, in one order everywhere; `store`: a planner's file of votes, from the operator's file where it is no absolute path;
+    `me`: a planner's place in the list, where its `listen` is no address of it; `lease_s`: how long an order holds at a
+    follower past its confirmation; `skew_s`: how far clocks of any two machines may be apart."""
+
+    cluster: str = Field(pattern=r"^[A-Za-z0-9._-]{1,40}$")
+    planners: tuple[Address, ...] = Field(min_length=3, max_length=5)
+    store: str = Field(default="votes.sqlite", min_length=1)
+    me: int | None = Field(default=None, ge=0, le=4)
+    lease_s: float = Field(default=2.0, ge=0.5, le=60.0)
+    skew_s: float = Field(default=0.5, ge=0.0, le=60.0)
+
+    @field_validator("planners")
+    @classmethod
+    def _odd_and_each_once(cls, planners):
+        if len(planners) not in (3, 5) or len(set(planners)) < len(planners):
+            raise BadSettings("three or five planners, each named once")
+        for planner in planners:
+            address(planner)
+        return planners
+
+    @property
+    def lease(self):
+        return int(self.lease_s * 10_000)
+
+    @property
+    def skew(self):
+        return int(self.skew_s * 10_000)
+
+    def follower(self, config):
+        """What follows the order in a gatekeeper or forwarder."""
+        from ..accord import Follower, FollowerSettings
+        return Follower(FollowerSettings(config.name, self.planners, self.lease), config.seed)
+
+    def number(self, config):
+        """Which of the planners this one is."""
+        mine = "%s:%d" % config.listen
+        if self.me is None and mine not in self.planners:
+            raise BadSettings(f"{mine} is no address of accord.planners", "accord.me",
+                              "name this planner's place in the list (0 for the first), or its address in the list")
+        me = self.planners.index(mine) if self.me is None else self.me
+        if me >= len(self.planners):
+            raise BadSettings(f"there is no planner {me}", "accord.me", f"0 to {len(self.planners) - 1}")
+        return me
+
+    def planner(self, config, operator):
+        """What makes a planner's `AccordNode`; its store is opened at once, so that a bad one is told at start."""
+        from secrets import randbits
+
+        from ..accord.node import AccordNode
+        from ..accord.planner import PlannerSettings
+        from ..accord.store import VoteStore
+        me, store = self.number(config), VoteStore(self.store, self.cluster)
+        settings = PlannerSettings(me, len(self.planners), randbits(48), self.cluster, self.lease)
+        return lambda clock, counts: AccordNode(settings, store, self.planners, config.limits.connect, clock, counts,
+                                                operator.advisers())
+
+
 class Operator(Section):
     """The whole file."""
 
@@ -165,6 +224,11 @@
     recovery: RecoverySection | None = None
     forwarder: ForwarderSection | None = None
     planner: PlannerSection | None = None
+    accord: AccordSection | None = None
+
+    def advisers(self):
+        """What planners make of followers' reports, by the part of the order."""
+        return {}
 
 
 def read_operator(told, where="operator file"):
@@ -174,7 +238,7 @@
     except ValidationError as why:
         first = why.errors()[0]
         field = ".".join(str(part) for part in first["loc"]) or "(top)"
-        raise BadSettings(f"{where}: {field}: {first['msg']}") from None
+        raise BadSettings(f"{field}: {first['msg']}", where, "mend that field; `fernyard check` reads the file again") from None
 
 
 def load_operator(path):
@@ -182,16 +246,19 @@
     path = Path(path)
     try:
         if path.stat().st_size > LARGEST:
-            raise BadSettings(f"{path}: over {LARGEST} bytes")
+            raise BadSettings(f"over {LARGEST} bytes", path, "an operator's file holds settings alone")
         text = path.read_text()
         told = json.loads(text) if path.suffix == ".json" else tomllib.loads(text)
     except OSError as why:
-        raise BadSettings(f"{path} cannot be read: {why.strerror}") from None
+        raise BadSettings(f"cannot be read: {why.strerror}", path, "name a file that this user may read") from None
+    except BadSettings:
+        raise
     except ValueError as why:
-        raise BadSettings(f"{path}: {why}") from None
-    routes = told.get("routes")
-    if isinstance(routes, dict) and isinstance(routes.get("file"), str):
-        told = {**told, "routes": {**routes, "file": str(path.parent / routes["file"])}}
+        raise BadSettings(f"is no {'JSON' if path.suffix == '.json' else 'TOML'}: {why}", path, "mend that line") from None
+    for section, field in (("routes", "file"), ("accord", "store")):
+        part = told.get(section)
+        if isinstance(part, dict) and isinstance(part.get(field), str):
+            told = {**told, section: {**part, field: str(path.parent / part[field])}}
     return read_operator(told, str(path))
 
 
--- a/fernyard/settings/read.py
+++ b/fernyard/settings/read.py
@@ -4,12 +4,13 @@
 import math
 
 from .. import interface as i
+from ..errors import FernyardError
 
 REPEATS = {"free": i.Repeat.REPLAYABLE, "guarded": i.Repeat.UNIQUED, "single_shot": i.Repeat.NON_REPLAYABLE}
 
 
-class BadSettings(ValueError):
-    """What was told cannot be used; the text says why, in one line."""
+class BadSettings(FernyardError, ValueError):
+    """What was told cannot be used: settings, a configuration, the operator's file."""
 
 
 def tenths(ms):
