Failover between zones decided in common from what several gatekeepers report

Need: each gatekeeper judges a lost zone alone from a few reqs a second. Now gatekeepers report dispatches passed, failed and failed in a row by zone; planners take a zone out where three reporters and half of those that know see it fail and the others pass, never most zones; a few gatekeepers try one worker at a time; it comes back in steps, a flapping one is held out longer. Discovery goes before any order; decide.py is unchanged: what it hears of workers is filtered (fernyard/zones/filter.py).

Off without [zones].

--- a/fernyard/lab/virtual.py
+++ b/fernyard/lab/virtual.py
@@ -28,7 +28,7 @@
 from ..plan import Ask, Grant, Heard, Lost, Planner, planner_settings
 from ..recovery import Answered, Asked, Beat, Bring, Tell
 from ..node import effects as e
-from ..node import make_between, make_lateness
+from ..node import make_models
 from ..node.reducer import Reducer, Tick
 from ..settings import read_config
 from ..workers import Outcome as Ended
@@ -38,6 +38,7 @@
 from .eureka import RegistryModel
 from .load import GRACE, Recorder, arrivals, request_headers
 from .model import Fault, Shape, WorkerModel
+from .ordered import OrderPlanners
 from .rules import Outcome
 from .scenario import parse_told
 from .result import assemble, configuration, operator_of
@@ -156,8 +157,7 @@
 
     def __init__(self, lab, n, config):
         self.lab, self.n, self.config, self.counts = lab, n, config, Counts()
-        self.reducer = Reducer(config, self.counts, between=make_between(config, lab.operator),
-                               lateness=make_lateness(config, lab.operator))
+        self.reducer = Reducer(config, self.counts, **make_models(config, lab.operator))
         self.reader = Reader(config, lab.routes)
         self.alarm, self.alive, self.since = None, True, lab.now
         self.waiting, self.number = {}, 0         # number of a req -> its arrival
@@ -253,6 +253,8 @@
                 self.lab.later(effect.limit, self.lab.ended, dispatch, i.End.TIMEOUT)
             elif kind is e.Call:
                 self.lab.faces[self.n].call(self, effect)
+            elif kind is e.AskOrder:
+                self.lab.order_planners.ask(self, effect.told)
             elif kind is e.AskPlanner:
                 self.lab.later(HOP, self.lab.planners[effect.planner].ask, self, effect)
                 self.lab.later(self.reducer.between.set.wait, self.unheard, effect)
@@ -586,6 +588,8 @@
         if scenario.planners:
             for n, address in enumerate(self.operator.forwarder.planners):
                 self.planners[address] = VirtualPlanner(self, n, self._config(n))
+        if self.operator is not None and self.operator.accord is not None:
+            self.order_planners = OrderPlanners(self)
         self.fleet = [self._start(n) for n in range(self.count)]
         self.connections = Connections(int(self.fleet[0].config.limits.worker_idle * SECOND))
         for gatekeeper in self.fleet:
@@ -656,4 +660,5 @@
             digest.update(repr(line).encode())
         return {**result, "clock": "emulated", "fleet": fleet, "counts": dict(sorted(counts.items())),
                 "digest": digest.hexdigest(),
+                "orders": self.order_planners.told() if self.operator and self.operator.accord else None,
                 "truth": self.truth, "planner_asks": [planner.asks for planner in self.planners.values()]}
--- a/fernyard/node/reducer.py
+++ b/fernyard/node/reducer.py
@@ -23,6 +23,7 @@
 from ..recovery import Answered, Asked, Beat, Bring, Tell
 from ..settings import Config
 from ..workers import Outcome
+from ..zones.filter import Visible
 from .effects import (Answer, AskOrder, AskPlanner, Call, CloseIdle, Finish, GiveUp, KeepConfig, LastAnswers, Move, ReadConfig,
                       Route, Send)
 
@@ -86,13 +87,15 @@
 
 
 class Reducer:
-    def __init__(self, config, counts, gatekeeper=None, between=None, lateness=None, follower=None, keeper=None):
+    def __init__(self, config, counts, gatekeeper=None, between=None, lateness=None, follower=None, keeper=None,
+                 zones=None):
         """What stands around the decisions, each None where the operator's file does not ask for it, in the order in which
         a req meets them (docs/architecture.md): `keeper` (a `freeze.Keeper`: is a configuration served that was agreed to),
-        `lateness` (a `Lateness`); the decisions; `between` (a `Recovery` or a `Forwarder`), before the counter. `follower`
-        (an `accord.Follower`) hears the agreed order, and the parts in `parts` obey it."""
-        self.lateness, self.follower, self.keeper, self.follow_at = lateness, follower, keeper, None
-        self.parts = tuple(part for part in (keeper,) if part is not None)
+        `lateness` (a `Lateness`); the decisions, which hear of workers through `zones` (a `ZoneFilter`); `between` (a
+        `Recovery` or a `Forwarder`), before the counter. `follower` (an `accord.Follower`) hears the agreed order, and the
+        parts in `parts` obey it."""
+        self.lateness, self.follower, self.keeper, self.zones = lateness, follower, keeper, zones
+        self.parts, self.follow_at = tuple(part for part in (keeper, zones) if part is not None), None
         self.config, self.counts, self.between, self.beat_at = config, counts, between, None
         self.gatekeeper = gatekeeper or Gatekeeper()
         self.now, self.effects, self.held, self.addresses = 0, [], {}, {}
@@ -107,6 +110,8 @@
         # What a forwarder tells of is its own leases: no total of theirs makes sure of anything for others.
         settings = replace(self.config.settings, whole=not isinstance(self.between, Forwarder))
         launched = i.Launched(settings, self.config.seed)
+        if self.zones is not None:
+            machines = self.zones.listed(now, machines, True)
         for happening in launched, i.Roster(i.News.CACHED, machines):
             self._carry_out(self.gatekeeper.step(now, happening))
         if self.between is not None:
@@ -164,6 +169,8 @@
     def _late(self, event):
         if self.lateness is not None:
             self.lateness.step(self.now, event)
+        if self.zones is not None:
+            self.zones.late(self.now, event.late)
 
     def _gone(self, event):
         held = self.held.get(event.number)
@@ -181,6 +188,8 @@
         if event.end is i.End.PASSED:
             self._answer(event.number, PASSED, event.body, event.headers)
         self._forget(event.number, held)
+        if self.zones is not None:
+            self.zones.ended(self.now, event.worker, event.end)
         ended = i.Ended(event.number, event.dispatch, event.worker, held.answered, event.end, event.took)
         self._decide(ended, event.number)
 
@@ -213,6 +222,9 @@
         """What each part reports goes with the next ask; what is obeyed from now on goes to each part."""
         if type(told) is FollowerBeat:
             self.follower.report = {part.name: part.report(self.now) for part in self.parts}
+            if self.zones is not None:
+                for told_of in self.zones.look(self.now):
+                    self._of_part(told_of)
         for order in self.follower.step(self.now, told):
             if type(order) is Follow:
                 self.counts.add("order", "asked")
@@ -252,6 +264,9 @@
         elif kind is Refused:
             self.counts.add("configurations", "refused")
             log.warning("configuration_refused", digest=told.digest, why=told.why, do=told.do)
+        elif kind is Visible:
+            self.counts.add("zones", "changed")
+            self._decide(i.Roster(i.News.CHANGES, told.machines))
         elif kind is Lacking:
             log.error("configuration_lacking", digest=told.digest, do=told.do)
             self.effects.append(ReadConfig())
@@ -273,7 +288,8 @@
         for machine in event.machines:
             if machine.phase is i.Phase.GONE:
                 self.addresses.pop(machine.worker, None)
-        self._decide(i.Roster(i.News.WHOLE if event.whole else i.News.CHANGES, event.machines))
+        machines = event.machines if self.zones is None else self.zones.listed(self.now, event.machines, event.whole)
+        self._decide(i.Roster(i.News.WHOLE if event.whole else i.News.CHANGES, machines))
 
     def _tick(self, _):
         overtaken, self.overtaken = self.overtaken, []
@@ -396,6 +412,7 @@
 
 HEAR = {Taken: Reducer._taken, Gone: Reducer._gone, Outcome: Reducer._ended, Total: Reducer._total,
         Told: Reducer._told, Tick: Reducer._tick, Stop: Reducer._stop, Fault: Reducer._faulted,
-        Heard: Reducer._planner, Lost: Reducer._planner, Reload: Reducer._reload, Configured: Reducer._configured, Lag: Reducer._late,
+        Heard: Reducer._planner, Lost: Reducer._planner, Reload: Reducer._reload, Configured: Reducer._configured,
+        Lag: Reducer._late,
         Rerouted: Reducer._rerouted, Handed: Reducer._handed, OrderAnswered: Reducer._tell_follower,
         Unheard: Reducer._tell_follower}
--- a/fernyard/node/runner.py
+++ b/fernyard/node/runner.py
@@ -40,9 +40,14 @@
     return None if operator is None or operator.lateness is None else Lateness(operator.lateness.settings(), config.seed)
 
 
-def make_follower(config, operator):
-    """What follows the planners' order, where the operator asks for it."""
-    return None if operator is None or operator.accord is None else operator.accord.follower(config)
+def make_models(config, operator):
+    """What stands around the decisions, as `Reducer` takes it: each only where the operator's file asks for it."""
+    told = {"between": make_between(config, operator), "lateness": make_lateness(config, operator)}
+    if operator is not None and operator.accord is not None:
+        told["follower"] = operator.accord.follower(config)
+    if operator is not None and operator.zones is not None:
+        told["zones"] = operator.zones.filter(config)
+    return told
 
 
 class Node:
@@ -51,9 +56,8 @@
         (`settings.operator.Operator`), or None; `served` (a `freeze.served.Served`, or None) keeps to the agreed
         configuration, of which `table` are the routes. BadSettings: its description of routes cannot be used."""
         self.config, self.reread, self.counts, self.served = config, reread, Counts(), served
-        between, follower = make_between(config, operator), make_follower(config, operator)
-        self.reducer = Reducer(config, self.counts, between=between, lateness=make_lateness(config, operator),
-                               follower=follower, keeper=served and served.keeper)
+        models = make_models(config, operator)
+        self.reducer = Reducer(config, self.counts, keeper=served and served.keeper, **models)
         self.clock, self.events, self.draining = Clock(), deque(), False
         self.alarm, self.alarm_at, self.rerouting = None, None, None
         self.routes, routes, unmatched = operator and operator.routes, None, None
@@ -69,10 +73,10 @@
                                    version if machines else None, config.seed)
         # A forwarder leaves the counter to the planners.
         self.planners = self.counter = self.followed = None
-        if follower is not None:
+        if "follower" in models:
             from ..accord.client import FollowerClient
             self.followed = FollowerClient(config.name, config.limits.connect, self.post)
-        if isinstance(between, Forwarder):
+        if isinstance(models["between"], Forwarder):
             from ..plan.client import PlannerClient      # its library is loaded by forwarders alone
             self.planners = PlannerClient(config.name, config.limits.connect, self.post)
         elif config.counter:
@@ -112,7 +116,7 @@
             self.discovery.start()
             if self.served is not None:
                 self._read_config()         # what stands in the files may be another than what is served
-            if self.reducer.lateness is not None:
+            if self.reducer.lateness is not None or self.reducer.zones is not None:
                 self._listen_for_lag()
             await self.finished
         finally:
--- a/fernyard/settings/operator.py
+++ b/fernyard/settings/operator.py
@@ -214,7 +214,7 @@
         me, store = self.number(config), VoteStore(self.store, self.cluster)
         settings = PlannerSettings(me, len(self.planners), randbits(48), self.cluster, self.lease)
         return lambda clock, counts: AccordNode(settings, store, self.planners, config.limits.connect, clock, counts,
-                                                operator.advisers(), reread)
+                                                operator.advisers(config), reread)
 
 
 class WindowSection(Section):
@@ -269,6 +269,14 @@
             raise BadSettings(why.what, f"freeze.windows: {why.where}", why.do) from None
 
 
+class ZonesSection(Section):
+    """Failover between zones decided in common (docs/zones.md); needs `[accord]`. The zones are those of the settings."""
+
+    def filter(self, config):
+        from ..zones import ZoneFilter
+        return ZoneFilter(config.name, config.settings.gatekeepers, tuple(config.machines.zones))
+
+
 class Operator(Section):
     """The whole file."""
 
@@ -280,16 +288,21 @@
     planner: PlannerSection | None = None
     accord: AccordSection | None = None
     freeze: FreezeSection | None = None
+    zones: ZonesSection | None = None
 
     @model_validator(mode="after")
     def _agreed(self):
-        if self.freeze is not None and self.accord is None:
-            raise BadSettings("[freeze] needs [accord]: what is agreed is agreed by its planners")
+        for name in ("freeze", "zones"):
+            if getattr(self, name) is not None and self.accord is None:
+                raise BadSettings(f"[{name}] needs [accord]: what is agreed is agreed by its planners")
         return self
 
-    def advisers(self):
+    def advisers(self, config):
         """What planners make of followers' reports, by the part of the order."""
         told = {}
+        if self.zones is not None:
+            from ..zones import ZonesAdviser
+            told["zones"] = ZonesAdviser(config.machines.zones)
         if self.freeze is not None:
             from ..freeze.adviser import FreezeAdviser
             told["config"] = FreezeAdviser(self.freeze.made(self.accord.skew_s), len(self.accord.planners),
