Weighted max-min shares among tenants across edges, never granted twice while they move

Need: limits hold a customer over all gatekeepers, but nothing shares what the workers carry fairly among tenants. Edges report what each tenant asks; planners fill progressively over zones, edges and caps (guaranteed parts first) and put the rates into the order; an edge spends its own in place and denies the rest before the decisions hear of it. What an edge loses counts as passed until it has confirmed or its lease, the clocks' skew and a round are over; then it goes to who gains. Floors are set aside for edges that hear no order. A follower is sent its own rates alone.

Off without [shares].

--- a/fernyard/accord/planner.py
+++ b/fernyard/accord/planner.py
@@ -124,8 +124,8 @@
 class OrderPlanner:
     """`advisers`: name of a part -> an object with `advise(now, reports, order) -> value of the part` (the same object where
     nothing is to change); `reports`: follower -> its report, fresh ones alone. It may have `own(now)`, what this planner
-    itself reports, and `fits(now, before, after, reports)`, asked again at each try of what it advised, and
-    `notes`, a list of (event, fields) for the operator."""
+    itself reports, and `fits(now, before, after, reports)`, asked again at each try of what it advised, `cut(part, follower)`, what
+    of its part is sent to a follower, and `notes`, a list of (event, fields) for the operator."""
 
     def __init__(self, settings, vote=None, advisers=None):
         self.set, self.advisers = settings, advisers or {}
@@ -214,7 +214,14 @@
         age = self.now - self.confirmed if order and self.confirmed is not None else None
         same = told.have == (cluster, version)
         self.orders.append(Reply(told.key, Standing(told.number, cluster, version, age, self.beat(),
-                                                    None if same else order)))
+                                                    None if same else order and self._cut(order, told.follower))))
+
+    def _cut(self, order, follower):
+        """Parts of which a follower needs its own alone are sent to it so."""
+        for name, adviser in self.advisers.items():
+            if hasattr(adviser, "cut") and order.parts.get(name) is not None:
+                order = order.with_part(name, adviser.cut(order.parts[name], follower))
+        return order
 
     # What is proposed --------------------------------------------------------------------------------------
 
--- a/fernyard/node/reducer.py
+++ b/fernyard/node/reducer.py
@@ -88,14 +88,14 @@
 
 class Reducer:
     def __init__(self, config, counts, gatekeeper=None, between=None, lateness=None, follower=None, keeper=None,
-                 zones=None):
+                 zones=None, shares=None):
         """What stands around the decisions, each None where the operator's file does not ask for it, in the order in which
         a req meets them (docs/architecture.md): `keeper` (a `freeze.Keeper`: is a configuration served that was agreed to),
-        `lateness` (a `Lateness`); the decisions, which hear of workers through `zones` (a `ZoneFilter`); `between` (a
+        `shares` (an `EdgeShares`: has its tenant any left here), `lateness` (a `Lateness`); the decisions, which hear of workers through `zones` (a `ZoneFilter`); `between` (a
         `Recovery` or a `Forwarder`), before the counter. `follower` (an `accord.Follower`) hears the agreed order, and the
         parts in `parts` obey it."""
-        self.lateness, self.follower, self.keeper, self.zones = lateness, follower, keeper, zones
-        self.parts, self.follow_at = tuple(part for part in (keeper, zones) if part is not None), None
+        self.lateness, self.follower, self.keeper, self.shares, self.zones = lateness, follower, keeper, shares, zones
+        self.parts, self.follow_at = tuple(part for part in (keeper, shares, zones) if part is not None), None
         self.config, self.counts, self.between, self.beat_at = config, counts, between, None
         self.gatekeeper = gatekeeper or Gatekeeper()
         self.now, self.effects, self.held, self.addresses = 0, [], {}, {}
@@ -158,6 +158,9 @@
         if self.keeper is not None and not self.keeper.takes:
             self.counts.add("denied_unconfirmed")
             return self._answer(req.number, DENIED, return_in=self.config.settings.longest_return)
+        if self.shares is not None and not self.shares.admits(self.now, req.customer, req.plan, req.units):
+            self.counts.add("denied_share")
+            return self._answer(req.number, DENIED, return_in=self.config.settings.longest_return)
         if self.lateness is not None:
             share = self.config.settings.plans[req.plan].rate / req.doors
             if not self.lateness.step(self.now, Offered(req.customer, req.units, left, share)):
--- a/fernyard/node/runner.py
+++ b/fernyard/node/runner.py
@@ -47,6 +47,8 @@
         told["follower"] = operator.accord.follower(config)
     if operator is not None and operator.zones is not None:
         told["zones"] = operator.zones.filter(config)
+    if operator is not None and operator.shares is not None:
+        told["shares"] = operator.shares.share(config, told["follower"])
     return told
 
 
--- a/fernyard/settings/operator.py
+++ b/fernyard/settings/operator.py
@@ -277,6 +277,74 @@
         return ZoneFilter(config.name, config.settings.gatekeepers, tuple(config.machines.zones))
 
 
+class TenantSection(Section):
+    """A tenant: the customers named, and all of the plans named; `guaranteed` and `cap` in units a second (cap 0: none)."""
+
+    name: str = Field(min_length=1, max_length=64)
+    weight: float = Field(default=1.0, gt=0, le=1e6)
+    guaranteed: float = Field(default=0.0, ge=0, le=1e9)
+    cap: float = Field(default=0.0, ge=0, le=1e9)
+    customers: tuple[Annotated[str, Field(pattern=r"^[0-9A-Fa-f]{16}$")], ...] = Field(default=(), max_length=10_000)
+    plans: tuple[str, ...] = ()
+
+
+class SharesSection(Section):
+    """Weighted max-min shares among tenants (docs/shares.md); needs `[accord]`. `zones`: units a second that each zone's workers
+    carry; `edge`: that one edge passes; `edges`: how many there may be in a zone (0: the settings' gatekeepers); `floor`: the part
+    set aside for edges that hear no order. Customers of no tenant are one more, `others`, of weight `others`."""
+
+    zones: dict[str, Annotated[float, Field(gt=0, le=1e9)]] = Field(min_length=1)
+    edge: float = Field(gt=0, le=1e9)
+    edges: int = Field(default=0, ge=0, le=100_000)
+    floor: float = Field(default=0.05, gt=0.0, lt=1.0)
+    others: float = Field(default=1.0, gt=0, le=1e6)
+    tenants: tuple[TenantSection, ...] = Field(default=(), max_length=200)
+
+    @model_validator(mode="after")
+    def _fits(self):
+        names = [tenant.name for tenant in self.tenants]
+        if len({*names, "others"}) <= len(names):
+            raise BadSettings("two tenants have one name, or one is called others")
+        for kind in ("customers", "plans"):
+            told = [one.lower() for tenant in self.tenants for one in getattr(tenant, kind)]
+            if len(set(told)) < len(told):
+                raise BadSettings(f"two tenants have the same of {kind}")
+        if sum(tenant.guaranteed for tenant in self.tenants) > (1 - self.floor) * sum(self.zones.values()):
+            raise BadSettings("more is guaranteed than all zones carry beside the floor")
+        if any(tenant.cap and tenant.cap < tenant.guaranteed for tenant in self.tenants):
+            raise BadSettings("a cap is below what is guaranteed")
+        return self
+
+    def settings(self, config):
+        from ..shares import SharesSettings, Tenant
+        unknown = [zone for zone in self.zones if zone not in config.machines.zones]
+        if unknown:
+            raise BadSettings(f"the settings know no zone {unknown[0]!r}", "shares.zones",
+                              f"one of: {', '.join(config.machines.zones)}")
+        tenants = [Tenant(t.name, t.weight, t.guaranteed, t.cap) for t in self.tenants]
+        return SharesSettings((*tenants, Tenant("others", self.others)), dict(self.zones), self.edge,
+                              self.edges or config.settings.gatekeepers, self.floor)
+
+    def share(self, config, follower):
+        """What the edge of that configuration lets pass; `follower` says whether an order holds."""
+        from ..shares import EdgeShares
+        plans = {}
+        for tenant in self.tenants:
+            for plan in tenant.plans:
+                if plan not in config.plans:
+                    raise BadSettings(f"the settings know no plan {plan!r}", f"shares.tenants: {tenant.name}",
+                                      f"one of: {', '.join(config.plans)}")
+                plans[config.plans[plan]] = tenant.name
+        customers = {int(customer, 16): tenant.name for tenant in self.tenants for customer in tenant.customers}
+        settings, zones = self.settings(config), {number: name for name, number in config.machines.zones.items()}
+        zone = zones.get(config.settings.zone)
+        if zone not in self.zones:
+            raise BadSettings(f"this edge's zone {zone!r} has no capacity", "shares.zones", "name every zone that has edges")
+        return EdgeShares(config.name, zone, settings.floor_of(zone),
+                          lambda customer, plan: customers.get(customer) or plans.get(plan, "others"),
+                          lambda now: follower.holds(now) is not None)
+
+
 class Operator(Section):
     """The whole file."""
 
@@ -289,10 +357,11 @@
     accord: AccordSection | None = None
     freeze: FreezeSection | None = None
     zones: ZonesSection | None = None
+    shares: SharesSection | None = None
 
     @model_validator(mode="after")
     def _agreed(self):
-        for name in ("freeze", "zones"):
+        for name in ("freeze", "zones", "shares"):
             if getattr(self, name) is not None and self.accord is None:
                 raise BadSettings(f"[{name}] needs [accord]: what is agreed is agreed by its planners")
         return self
@@ -303,6 +372,9 @@
         if self.zones is not None:
             from ..zones import ZonesAdviser
             told["zones"] = ZonesAdviser(config.machines.zones)
+        if self.shares is not None:
+            from ..shares import SharesAdviser
+            told["shares"] = SharesAdviser(self.shares.settings(config), self.accord.lease, self.accord.skew)
         if self.freeze is not None:
             from ..freeze.adviser import FreezeAdviser
             told["config"] = FreezeAdviser(self.freeze.made(self.accord.skew_s), len(self.accord.planners),
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -16,6 +16,8 @@
 from dataclasses import replace
 from pathlib import Path
 
+import aiohttp
+
 from fernyard import interface as i
 from fernyard.decide import Gatekeeper
 from fernyard.lab.runner import free_port
@@ -320,3 +322,29 @@
         if program.returncode is None:
             program.kill()
             await program.communicate()
+
+
+async def keep_asking(session, fleet, stopped, customers=(CUSTOMER, CUSTOMER), pause=0.02):
+    """Of each of a `ProcessFleet`'s gatekeepers each customer asks again as soon as it is answered and `pause` is over, until
+    `stopped`; how many got which status (0: the connection ended without an answer)."""
+    statuses = {}
+
+    async def client(gatekeeper, n, customer):
+        number = 0
+        while not stopped.is_set():
+            number += 1
+            headers = {"X-Correlation-Id": f"{gatekeeper.name}-{n}-{number}", "Plan": "free", "X-Time-Left": "3.0",
+                       "Quota-Info": "units=1,spread=1,first=0"}
+            try:
+                async with session.get(f"http://{gatekeeper.address}/look%20up/{customer}", headers=headers) as answer:
+                    await answer.read()
+                    status = answer.status
+            except aiohttp.ClientConnectorError:
+                status = None                             # it does not listen yet, or any more
+            except aiohttp.ClientError:
+                status = 0
+            if status is not None:
+                statuses[status] = statuses.get(status, 0) + 1
+            await asyncio.sleep(pause)
+    await asyncio.gather(*(client(g, n, customer) for g in fleet.gatekeepers for n, customer in enumerate(customers)))
+    return statuses
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -16,6 +16,8 @@
 from fernyard.zones import ZoneFilter, ZonesAdviser
 from fernyard.zones.adviser import FIRST_HOLD, RETURN, WELL
 
+from .helper import keep_asking
+
 SECOND = 10_000
 ZONES = "norte", "centro", "sur"
 GOOD, BAD, NONE, HALF = [5.0, 0.0, 0], [0.5, 4.0, 4], [0.0, 0.0, 0], [2.0, 3.0, 1]
@@ -197,7 +199,7 @@
                                    sections=lambda instance: "[zones]\n").start()
         stopped = asyncio.Event()
         session = aiohttp.ClientSession()
-        load = asyncio.create_task(self.load(session, fleet, stopped))
+        load = asyncio.create_task(keep_asking(session, fleet, stopped))
         try:
             await fleet.until(fleet.follows)
             sur = [worker for name, worker in fleet.workers.items() if name.startswith("sur")]
@@ -224,29 +226,3 @@
                 if fields["event"] in ("order_agreed", "order_obeyed"):
                     digests.setdefault(fields["version"], set()).add(fields["digest"])
         self.assertTrue(all(len(told) == 1 for told in digests.values()), digests)
-
-    @staticmethod
-    async def load(session, fleet, stopped):
-        """Each gatekeeper is asked by two clients that ask again as soon as they are answered."""
-        statuses = {}
-
-        async def client(gatekeeper, n):
-            number = 0
-            while not stopped.is_set():
-                number += 1
-                headers = {"X-Correlation-Id": f"{gatekeeper.name}-{n}-{number}", "Plan": "free", "X-Time-Left": "3.0",
-                           "Quota-Info": "units=1,spread=1,first=0"}
-                try:
-                    async with session.get(f"http://{gatekeeper.address}/look%20up/00000000b4d65521",
-                                           headers=headers) as answer:
-                        await answer.read()
-                        status = answer.status
-                except aiohttp.ClientConnectorError:
-                    await asyncio.sleep(0.05)             # it does not listen yet
-                    continue
-                except aiohttp.ClientError:
-                    status = 0
-                statuses[status] = statuses.get(status, 0) + 1
-                await asyncio.sleep(0.02)
-        await asyncio.gather(*(client(g, n) for g in fleet.gatekeepers for n in range(2)))
-        return statuses
