--- a/fernyard/lab/links.py
+++ b/fernyard/lab/links.py
@@ -12,7 +12,7 @@
     """From `port` of ours to `target` (host, port). `mode` as above ("there": from who connects), `delay` in seconds."""
 
     def __init__(self, target):
-        self.target, self.mode, self.delay, self.port, self.bytes = target, OPEN, 0.0, 0, 0
+        self.target, self.mode, self.delay, self.port = target, OPEN, 0.0, 0
         self.server, self.changed, self.tasks = None, asyncio.Event(), set()
 
     async def start(self):
@@ -58,7 +58,6 @@
             if self.delay:
                 await asyncio.sleep(self.delay)
             await self._passes(way)
-            self.bytes += len(data)
             writer.write(data)
             await writer.drain()
         raise ConnectionResetError("ended")
--- a/fernyard/lab/processes.py
+++ b/fernyard/lab/processes.py
@@ -31,7 +31,7 @@
 
     def __init__(self, fleet, name, role, number, port):
         self.fleet, self.name, self.role, self.number, self.port = fleet, name, role, number, port
-        self.folder, self.process, self.leads = fleet.folder / name, None, []
+        self.folder, self.process = fleet.folder / name, None
         self.folder.mkdir()
         self.config, self.operator, self.log = (self.folder / file for file in ("config.json", "operator.toml", "log"))
 
--- a/tests/test_freeze.py
+++ b/tests/test_freeze.py
@@ -14,7 +14,7 @@
 from fernyard.freeze.bundle import BadBundle, Kept, make_bundle
 from fernyard.freeze.keeper import Adopt, Keep, Lacking, Refused
 from fernyard.freeze.windows import BadWindow, Exemption, Window, Windows
-from fernyard.lab.agreement import LEASE, AgreementLab
+from fernyard.lab.agreement import AgreementLab
 
 SECOND = 10_000
 MADRID = "Europe/Madrid"
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,8 +7,6 @@
 import resource
 import signal
 import socket
-import sys
-import tempfile
 import unittest
 
 from fernyard import interface as i
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,7 +1,6 @@
 """Planners and gatekeepers as processes, with faults between them: what is agreed stays agreed. What is checked comes from
 clients' answers, the stores' votes and log lines of all processes together."""
 
-import asyncio
 import itertools
 import signal
 import tempfile
