--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -1,40 +1,31 @@
 """Every decision of a gatekeeper.
 
-Called as `Gatekeeper().step(now, happening)`, which returns the orders to carry out, in their order; the
-first happening is `Launched`. The types of both stand in `fernyard/interface.py`; times are whole tenths of a
-millisecond. An instance shares nothing with any other and draws its chance from its own seed.
+`Gatekeeper().step(now, happening)` returns the orders to carry out; the first happening is `Launched`. Types:
+`fernyard/interface.py`. Times are tenths of a millisecond; chance is drawn from the instance's own seed.
 """
 
 from bisect import insort
 from collections import deque
 from itertools import islice
-from math import exp
 from random import Random
 
+from .estimate import LIMIT_BURSTS, LONGEST_KEEP, SECOND, Mean, Tally, bucket_length, sure_part
 from .interface import (NEVER_RAN, Abort, Add, Arrived, Counted, Deny, Dispatch, End, Ended, Follow, Group,
                         Launched, Left, News, Phase, Repeat, Roster, Streaming, Wake, Woke)
 
-SECOND = 10_000
 COUNT, PLACE, OUTCOME = "count", "place", "outcome"   # what the path of a req waits for
-# The quota: bucket length and limit in bursts; what told totals grant of a ceiling's rate; keeping names.
-BUCKET_BURSTS, LIMIT_BURSTS, TOLD_PART = 1.25, 1.35, 0.5
-SHORTEST_BUCKET, LONGEST_BUCKET, LONGEST_KEEP = SECOND // 2, 18 * SECOND, 60 * SECOND
-# The counter: calls failed in a row until none is waited for; the least part of the wanted calls that is
-# made, and what an answer, a slow one and a failed call make of that part; below which part takes-back wait
-# and no previous bucket is read, and below which ends of dispatches are called only as it allows; the share
-# of the time-out beyond the least time of a call (far is not crowded) that makes one slow, and how soon the
-# least is forgotten; calls that may be made ahead of their credit.
+# The counter: failures in a row until none is waited for; the least part of the calls that is made, what
+# an answer, a slow one, a failed call make of it; below which parts takes-back wait and ends are not called; the
+# share of the time-out past a call's least time that is slow; how soon the least fades; calls ahead of credit.
 BLIND_AFTER, LEAST_PART, RAISE, SLOW_CUT, FAIL_CUT = 3, 0.03, 1.08, 0.9, 0.7
 CROWDED, CALLED_OFF, SLOW_CALL, FORGET, AHEAD = 0.9, 0.5, 0.3, 0.002, 3.0
-# Without an answer: what a total teaches of the part that comes through here, our share of the limit in such
-# parts; the spread that chance gives small numbers, of reqs and of dispatches out; and names with units owed.
-LEARN, UNASKED, SPREAD, MOST_OWED = 0.1, 1.2, 0.7, 5000
-# Workers: places of one at first and at least over all gatekeepers, at most here; failures in a row that
-# bench one, and for how long.
+# Unasked: our share of the limit in parts of what comes here; spread of small numbers; names with units owed.
+UNASKED, SPREAD, MOST_OWED = 1.2, 0.7, 5000
+# Workers: places at first, fewest over all, most here; failures in a row that bench one, and for how long.
 FIRST_PLACES, FEWEST_PLACES, MOST_PLACES = 6.0, 2.0, 16.0
 GROW, SHRINK, FEWEST_TELL = 0.25, 0.9, 6.0            # of the places, while all that is out is answered once
-BENCH_AFTER, BENCH, LONGEST_BENCH = 3, SECOND // 2, 4 * SECOND
-SLOW_TAU, LONGEST_TAU, WORK_TAU, PACE_TAU = 3 * SECOND, 60 * SECOND, 5 * SECOND, 5 * SECOND
+BENCH_AFTER, BENCH, LONGEST_BENCH, PACE_TAU = 3, SECOND // 2, 4 * SECOND, 5 * SECOND
+SLOW_TAU, LONGEST_TAU, WORK_TAU = 3 * SECOND, 60 * SECOND, 5 * SECOND
 FAILED_AS = 4.0                                       # a failure weighs as an answer this many times too slow
 QUICK, SLOW = 0.25, 0.4                               # shares of the response target that move the places
 ELSEWHERE, MET, DRAWN = 1.1, 0.1, 8   # cost of another zone; answers left of one met; workers looked at
@@ -45,73 +36,6 @@
 TIDY, IDLE = 10 * SECOND, 70 * SECOND                 # beyond any bucket kept and any ceiling filled
 
 
-def sure_part(plan, doors, length, limit, most):
-    """Of a ceiling and its slack, the units that told totals, being of all doors, may grant at once and again
-    each bucket. Harms by as much again when the counter has lost its counts."""
-    room = plan.ceiling_depth + plan.ceiling_slack - doors * most    # a share of the rest holds a whole req
-    return max(0.0, min(limit, room, TOLD_PART * plan.ceiling_rate * length / SECOND))
-
-
-class Mean:
-    """A mean over the last `tau` or so, and `weight` values of `start` that never fade."""
-
-    def __init__(self, tau, now, start=0.0, weight=1.0):
-        self.tau, self.at, self.sum, self.n, self.start, self.weight = tau, now, 0.0, 0.0, start, weight
-
-    def total(self, now):
-        if now > self.at:
-            left = exp((self.at - now) / self.tau)
-            self.sum, self.n, self.at = self.sum * left, self.n * left, now
-        return self.sum
-
-    def add(self, now, value):
-        self.sum = self.total(now) + value
-        self.n += 1.0
-
-    def read(self, now):
-        return (self.total(now) + self.start * self.weight) / (self.n + self.weight)
-
-
-class Tally:
-    """What is known of one customer's two buckets: by rate, or of dispatches out."""
-
-    def __init__(self, customer, by_open, length, limit):
-        self.customer, self.by_open, self.length, self.limit = customer, by_open, length, limit
-        self.share, self.bucket, self.total, self.own = 1.0 / customer.doors, -2, 0.0, 0.0
-        self.was, self.was_own, self.was_known, self.sure = 0.0, 0.0, False, 0.0
-
-    def roll(self, now):
-        bucket = now // self.length
-        if bucket == self.bucket:
-            return
-        last = bucket == self.bucket + 1
-        self.was, self.was_own = (self.total, self.own) if last else (0.0, 0.0)
-        self.was_known, self.bucket, self.total, self.own = False, bucket, 0.0, 0.0
-
-    def overlap(self, now):
-        into = min(1.0, now / self.length - self.bucket)
-        # By open, half a bucket is as long as a dispatch can be out: then the previous holds only leaks.
-        return float(into < 0.5) if self.by_open else 1.0 - into
-
-    def told(self, bucket, total, units):
-        """A total came back; one below our own standing units shows that the counter lost counts."""
-        if bucket == self.bucket:
-            self.total = max(total, self.own)
-            if total > units > 0:
-                # Our part of the customer's traffic, beside the req that asks: from totals told alone.
-                part = min(1.0, max(0.0, self.own - units) / (total - units))
-                self.share += LEARN * (part - self.share)
-        elif bucket == self.bucket - 1:
-            self.was, self.was_known = max(total, self.was_own), True
-
-    def put(self, bucket, units):
-        if bucket == self.bucket:
-            self.own = max(0.0, self.own + units)
-            self.total = max(self.own, self.total + units)
-        elif bucket == self.bucket - 1:
-            self.was_own = max(0.0, self.was_own + units)
-
-
 class Customer:
     """One customer: its plan, its tallies and its part of the ceiling."""
 
@@ -163,8 +87,7 @@
             req.promised = req.units
             customer.promised += req.promised
         while True:
-            worker = yield PLACE
-            if worker is None:
+            if (worker := (yield PLACE)) is None:
                 return self._give_up(req)
             if not req.sent:
                 customer.promised -= req.promised
@@ -524,8 +447,7 @@
             depth = plan.ceiling_depth if plan.ceiling_rate else float("inf")
             customer.store, refill = 0.0 if plan.ceiling_rate else depth, plan.ceiling_rate / SECOND
             if plan.rate:
-                length = int(BUCKET_BURSTS * plan.burst / plan.rate * SECOND)
-                length = min(LONGEST_BUCKET, max(SHORTEST_BUCKET, length))
+                length = bucket_length(plan.rate, plan.burst)
                 customer.tallies.append(tally := Tally(customer, False, length, LIMIT_BURSTS * plan.burst))
                 # Not where units settled later give back what the ceiling has drawn.
                 if self.set.may_count and self.set.whole and not self.set.settles:
--- a/fernyard/plan/shape.py
+++ b/fernyard/plan/shape.py
@@ -1,7 +1,7 @@
 """What both levels know of a name: the length of its bucket and its limit, by plan, as the decisions have them. Free
 of I/O."""
 
-from ..decide import (BUCKET_BURSTS, LIMIT_BURSTS, LONGEST_BUCKET, LONGEST_KEEP, SECOND, SHORTEST_BUCKET)
+from ..estimate import LIMIT_BURSTS, LONGEST_KEEP, SECOND, bucket_length
 from .forwarder import ForwarderSettings
 from .planner import PlannerSettings
 
@@ -14,8 +14,7 @@
     shapes = {}
     for number, plan in enumerate(settings.plans):
         if plan.rate:
-            length = int(BUCKET_BURSTS * plan.burst / plan.rate * SECOND)
-            shapes[number, 0] = min(LONGEST_BUCKET, max(SHORTEST_BUCKET, length)), LIMIT_BURSTS * plan.burst
+            shapes[number, 0] = bucket_length(plan.rate, plan.burst), LIMIT_BURSTS * plan.burst
         if plan.open:
             length = min(LONGEST_KEEP // 3, 2 * max(f.timeout for f in settings.frontends))
             shapes[number, 1] = length, float(plan.open)
--- a/fernyard/recovery/bound.py
+++ b/fernyard/recovery/bound.py
@@ -7,16 +7,15 @@
 
 from dataclasses import dataclass
 
-from ..decide import (BUCKET_BURSTS, LIMIT_BURSTS, LONGEST_BUCKET, SECOND, SHORTEST_BUCKET, SPREAD,
-                      UNASKED, sure_part)
+from ..decide import SPREAD, UNASKED
+from ..estimate import LIMIT_BURSTS, SECOND, bucket_length, sure_part
 from ..interface import Plan
 
 
 def bucket_of(plan):
     """(length in seconds, limit in units) of a plan told as in the settings (`refill`, `burst`), as the decisions
     have them."""
-    length = int(BUCKET_BURSTS * plan["burst"] / plan["refill"] * SECOND)
-    return min(LONGEST_BUCKET, max(SHORTEST_BUCKET, length)) / SECOND, LIMIT_BURSTS * plan["burst"]
+    return bucket_length(plan["refill"], plan["burst"]) / SECOND, LIMIT_BURSTS * plan["burst"]
 
 
 def bounds_of(config, recovery):
