The whole path, first cut: tandem keeps the word, switchboard carries the traffic

Change: fernyard/exchange with trunk (shared), tandem (control plane) and switchboard (data plane), deploy/system.toml; the worker pool's headers and the reading of answers become methods that the system's lines override.

--- a/fernyard/decide.py
+++ b/fernyard/decide.py
@@ -69,16 +69,16 @@
             told = (yield COUNT) if self._ask(req, tally, units) else None
             if told is not None and told.end is End.PASSED:
                 known = tally.was_known and not (tally.by_open and tally.was)
-                decides = self._estimate(tally, max(tally.was, tally.limit)) > tally.limit
+                decides = tally.estimate(self.now, max(tally.was, tally.limit)) > tally.limit
                 if decides and not known and (self.part > CROWDED or self._ceiling(customer) < req.units):
                     self._call(0.0, req, tally, tally.bucket - 1)
                     yield COUNT
-                over = self._estimate(tally) > tally.limit
+                over = tally.estimate(self.now) > tally.limit
                 was = tally.was if tally.was_known else max(tally.was, tally.sure)
-                sure = sure or self._estimate(tally, was) <= tally.sure
+                sure = sure or tally.estimate(self.now, was) <= tally.sure
             else:
                 over = self._over_unasked(tally, units)
-            req.over = max(req.over, self._estimate(tally) / tally.limit)
+            req.over = max(req.over, tally.estimate(self.now) / tally.limit)
             if over:
                 return self._deny(req, self._return_in(tally, units))
         if not sure:
@@ -127,9 +127,6 @@
     def _name(self, tally, bucket):
         return tally.customer.id | (((bucket * 2 + tally.by_open) & 0x3FFFFFFF) << 33)
 
-    def _estimate(self, tally, was=None):
-        return (tally.was if was is None else was) * tally.overlap(self.now) + tally.total
-
     def _ours(self, tally):
         return UNASKED * max(tally.share, 1.0 / tally.customer.doors) * tally.limit
 
@@ -138,7 +135,7 @@
         ours = self._ours(tally)
         own = tally.was_own * tally.overlap(self.now) + tally.own
         # Where doors are many the share is less than one req: the first is let in all the same.
-        sure = not tally.by_open and self._estimate(tally) > tally.limit
+        sure = not tally.by_open and tally.estimate(self.now) > tally.limit
         return sure or own > max(units, ours + SPREAD * ours ** 0.5)
 
     def _return_in(self, tally, units):
@@ -155,7 +152,7 @@
             return False
         # Ahead go those that, without an answer, each door lets in, or denies. Plans by dispatches out stay
         # behind, they need a second call at the end.
-        ahead = not tally.by_open and (self._ours(tally) < units or self._estimate(tally) <= tally.limit and (
+        ahead = not tally.by_open and (self._ours(tally) < units or tally.estimate(self.now) <= tally.limit and (
             self._over_unasked(tally, units) or self._ceiling(req.customer) < req.units))
         if not self._may_call(-AHEAD if ahead else 1.0):
             if tally.by_open:
--- a/fernyard/estimate.py
+++ b/fernyard/estimate.py
@@ -39,6 +39,9 @@
         # By open, half a bucket is as long as a dispatch can be out: then the previous holds only leaks.
         return float(into < 0.5) if self.by_open else 1.0 - into
 
+    def estimate(self, now, was=None):
+        return (self.was if was is None else was) * self.overlap(now) + self.total
+
     def told(self, bucket, total, units):
         """A total came back; one below our own standing units shows that the counter lost counts."""
         if bucket == self.bucket:
--- /dev/null
+++ b/fernyard/exchange/switchboard/follow.py
@@ -0,0 +1,85 @@
+"""How news reaches this switchboard: of its zone, one is the home that asks the control plane; the others are told by it.
+A home that is silent is passed by. Free of I/O."""
+
+import attrs
+
+from ..trunk import rendezvous
+from ..trunk.messages import NONE
+
+HOME_WAIT, PULL_AGAIN = 0.25, 0.4       # seconds until a silent home is passed by, until a pull is tried elsewhere
+
+
+@attrs.define
+class Pull:
+    """Ask the process at that ip for what is newer than what is held."""
+
+    ip: str
+    plan: bool
+    board: bool
+
+
+@attrs.define
+class Behind:
+    config: tuple = NONE
+    evacuations: int = 0
+    board: tuple = NONE
+
+
+class Follower:
+    def __init__(self, node, zone):
+        self.node, self.zone, self.desks = node, zone, {}
+        self.held, self.seen = Behind(), Behind()
+        self.sources, self.since, self.pulled = {}, None, {}
+
+    def home(self):
+        """The home of this zone's news; ourselves while we know of none."""
+        return rendezvous.first(f"news {self.zone}", [n for n, d in self.desks.items() if d.zone == self.zone])
+
+    def neighbours(self):
+        """(node, ip) of the others in the zone."""
+        return [(node, desk.ip) for node, desk in self.desks.items() if desk.zone == self.zone and node != self.node]
+
+    def heard(self, now, ip, config, evacuations, board, home=False):
+        """Another tells what it holds. Returns pulls to make."""
+        if config > self.held.config or evacuations > self.held.evacuations or board > self.held.board:
+            self.sources[ip] = (config, evacuations, board, now)
+            if self.since is None:
+                self.since = now
+            if home or self.home() in (None, self.node) or now - self.since >= HOME_WAIT:
+                return self._pull(now, ip)
+        return []
+
+    def due(self, now):
+        """Pulls to make now that time has passed."""
+        if self.since is None:
+            return []
+        if not self._behind():
+            self.since = None
+            return []
+        if now - self.since < HOME_WAIT and self.home() not in (None, self.node):
+            return []
+        for ip, (_, _, _, at) in sorted(self.sources.items(), key=lambda item: -item[1][3]):
+            pulls = self._pull(now, ip)
+            if pulls:
+                return pulls
+        return []
+
+    def _behind(self):
+        held = self.held
+        self.sources = {ip: told for ip, told in self.sources.items()
+                        if told[0] > held.config or told[1] > held.evacuations or told[2] > held.board}
+        return bool(self.sources)
+
+    def _pull(self, now, ip):
+        if now < self.pulled.get(ip, 0.0):
+            return []
+        told = self.sources[ip]
+        self.pulled[ip] = now + PULL_AGAIN
+        return [Pull(ip, told[0] > self.held.config or told[1] > self.held.evacuations, told[2] > self.held.board)]
+
+    def got(self, now, ip, config, evacuations, board, desks):
+        """What is held now, after a pull from `ip` ended."""
+        self.held, self.desks = Behind(config, evacuations, board), desks
+        self.pulled.pop(ip, None)
+        if not self._behind():
+            self.since = None
--- /dev/null
+++ b/fernyard/exchange/switchboard/front.py
@@ -0,0 +1,114 @@
+"""The clients' side, on the gatekeeper's own connections (`fernyard.clients`). Decides nothing."""
+
+import asyncio
+
+import attrs
+from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
+from aiohttp.web_protocol import RequestPayloadError
+from aiohttp.web_request import BaseRequest
+from multidict import CIMultiDict
+
+from ...clients.connections import Connections, Written
+from ...clients.read import passed_on
+from ..trunk.logs import Part
+from .types import Asked, Gone
+
+log = Part("front")
+
+
+@attrs.define
+class Taken:
+    """A request as it came; `tenant` is set when it goes to a worker."""
+
+    id: str
+    method: str
+    host: str
+    path: str
+    headers: list
+    body: bytes
+    tenant: str | None = None
+
+
+class Front:
+    """Reads requests and writes answers; `report` hears `Asked` and `Gone`."""
+
+    def __init__(self, limits, report, counts):
+        self.limits, self.report, self.counts = limits, report, counts
+        self.number, self.waiting, self.taken, self.stopping, self.connections = 0, {}, {}, False, None
+
+    def listen(self, address):
+        self.connections = Connections(self._handle, self._request, self.limits, self.counts)
+        self.connections.listen(*address)
+
+    def _request(self, message, payload, protocol, writer, task):
+        return BaseRequest(message, payload, protocol, writer, task, asyncio.get_running_loop(),
+                           client_max_size=self.limits.body)
+
+    async def _handle(self, request):
+        try:
+            return await self._serve(request)
+        except (ConnectionError, asyncio.CancelledError):
+            raise
+        except Exception:
+            log.fault("A request broke its handler.")
+            return self._response(500)
+
+    async def _serve(self, request):
+        headers, connection = request.headers, request.protocol
+        id, told = headers.get("Attempt-Id"), headers.get("Deadline-Ms", "30000")
+        host = headers.get("Host", "")
+        if not id or not told.isdigit() or not request.raw_path.startswith("/"):
+            return self._refused(400)
+        try:
+            if headers.get("Expect", "").lower() == "100-continue":
+                await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                request.writer.output_size = 0
+            body = await request.read() if request.body_exists else b""
+        except (HTTPRequestEntityTooLarge, RequestPayloadError) as why:
+            return self._refused(getattr(why, "status", 400))
+        self.number = number = self.number + 1
+        waiting = self.waiting[number] = asyncio.get_running_loop().create_future()
+        self.taken[number] = Taken(id, request.method, host, request.raw_path, passed_on(request.raw_headers), body)
+        self.connections.begun(connection)
+        self.report(Asked(number, request.method, host, request.raw_path, headers.get("Key"), int(told) / 1000))
+        try:
+            status, body, told = await waiting
+        except asyncio.CancelledError:
+            self.report(Gone(number))
+            raise
+        finally:
+            self.waiting.pop(number, None)
+            self.taken.pop(number, None)
+        response = self._response(status, body, told, lambda: self.connections.ended(connection))
+        if connection.behind:
+            response.force_close()
+        return response
+
+    def answer(self, number, status, body=b"", headers=None):
+        waiting = self.waiting.get(number)
+        if waiting is not None and not waiting.done():
+            waiting.set_result((status, body, headers))
+
+    def relay(self, number, outcome):
+        self.answer(number, outcome.status, outcome.body, CIMultiDict(passed_on(outcome.headers)))
+
+    def _refused(self, status):
+        response = self._response(status)
+        response.force_close()
+        return response
+
+    def _response(self, status, body=b"", headers=None, written=lambda: None):
+        response = Written(written, status=status, body=body, headers=headers)
+        if self.stopping:
+            response.force_close()
+        return response
+
+    async def close(self, until):
+        """No more connections; ends when all that was taken is written, or at `until` (the loop's time)."""
+        loop = asyncio.get_running_loop()
+        self.connections.stop_listening()
+        self.connections.drop_unused()
+        while self.connections.open and loop.time() < until:
+            await asyncio.sleep(0.02)
+            self.connections.drop_unused()
+        await self.connections.shutdown(0)
--- /dev/null
+++ b/fernyard/exchange/switchboard/quota.py
@@ -0,0 +1,162 @@
+"""A tenant's quota over all switchboards: the weighted two-bucket estimate on counts that counter gatekeepers hold.
+
+One add per request; the total returned decides; what is past the limit is refused at once and its units given back.
+Kept from the paper and what was changed: docs/system.md. Free of I/O; times are seconds.
+"""
+
+from types import SimpleNamespace
+
+import attrs
+
+from ...estimate import Mean, Tally
+from ..trunk.messages import Count, Total
+
+# A bucket in parts of burst/rate, its least length; units above the limit for the coarseness of small counts.
+BUCKET, LEAST_BUCKET, GRAIN = 1.05, 0.5, 2.0
+# A call is given up after so many usual times, at least and at most; failures in a row until none is waited for.
+TIMES, LEAST_WAIT, MOST_WAIT, BLIND_AFTER = 3.0, 0.05, 0.3, 2
+BLIND_PART = 0.8            # of our usual part of the limit, while the counter does not answer
+DOUBT = 0.02                # how fast the part is learned
+KEEP = 60.0                 # an unused tally is forgotten
+
+
+def shape(rate, burst):
+    """(bucket length, limit) of a tenant's quota; a burst of nought gets the least bucket."""
+    length = max(LEAST_BUCKET, BUCKET * burst / rate)
+    return length, max(burst, rate * length / BUCKET) + min(GRAIN, GRAIN * length)
+
+
+def _tally(length, limit):
+    return Tally(SimpleNamespace(doors=1), False, length, limit)
+
+
+class Ledger:
+    """The counter gatekeeper's side: two buckets a tenant. After a start it is empty; each switchboard tells with its
+    first add what it let past of late, and that stands as the previous bucket."""
+
+    def __init__(self):
+        self.tallies = {}
+
+    def add(self, now, told, board):
+        """Answers one `Count`."""
+        held = self.tallies.get(told.tenant)
+        if held is None or abs(held.tally.length - told.length) > 1e-6:
+            before = held.tally.estimate(now - held.began) if held is not None else 0.0
+            known = held.known if held is not None else {}
+            held = self.tallies[told.tenant] = _Held(_tally(told.length, told.limit), now, known)
+            held.tally.roll(0.0)
+            held.tally.was = before
+        tally, at = held.tally, now - held.began
+        tally.roll(at)
+        tally.limit, held.used = told.limit, now
+        if held.known.get(told.node) != told.life:
+            held.known[told.node] = told.life
+            tally.was += told.recent
+        tally.put(tally.bucket, told.owed)
+        total = tally.total + told.units
+        # What would pass the limit is not kept: the asker refuses on the same estimate, and its units are given back
+        # here rather than by a second message that would stand in others' way for as long as it travels.
+        if told.units <= 0 or tally.was * tally.overlap(at) + total <= tally.limit:
+            tally.put(tally.bucket, told.units)
+        if len(self.tallies) > 1 and at > KEEP:
+            self._tidy(now)
+        return Total(told.ask, tally.was, total, tally.overlap(at), board)
+
+    def _tidy(self, now):
+        self.tallies = {name: held for name, held in self.tallies.items() if now - held.used < KEEP}
+
+
+@attrs.define
+class _Held:
+    tally: Tally
+    began: float
+    known: dict
+    used: float = 0.0
+
+
+@attrs.define
+class Pending:
+    tenant: str
+    at: float
+    done: object
+
+
+class Quota:
+    """The proxy's side. `ask` sends an add; `answered` and `late` tell what came of it."""
+
+    def __init__(self, node, life):
+        self.node, self.life, self.number, self.out = node, life, 0, {}
+        self.own, self.share, self.owed = {}, {}, {}
+        self.times, self.failed = {}, {}
+
+    def _own(self, now, tenant):
+        length, limit = shape(tenant.rate, tenant.burst)
+        tally = self.own.get(tenant.name)
+        if tally is None or tally.length != length:
+            tally = self.own[tenant.name] = _tally(length, limit)
+        tally.limit = limit
+        tally.roll(now)
+        return tally
+
+    def recent(self, now, tenant):
+        tally = self._own(now, tenant)
+        return tally.estimate(now)
+
+    def ask(self, now, tenant, counter, board, done):
+        """(Count to send, seconds to wait for its answer; 0: the counter was silent, decide now)."""
+        tally = self._own(now, tenant)
+        self.number += 1
+        self.out[self.number] = Pending(tenant.name, now, done)
+        count = Count(self.number, self.node, self.life, tenant.name, tally.length, tally.limit, 1.0,
+                      self.owed.pop(tenant.name, 0.0), tally.estimate(now), board)
+        blind = self.failed.get(counter, 0) >= BLIND_AFTER
+        usual = self.times.get(counter)
+        wait = MOST_WAIT if usual is None else min(MOST_WAIT, max(LEAST_WAIT, TIMES * usual.read(now)))
+        return count, 0.0 if blind else wait
+
+    def answered(self, now, total, counter_of):
+        """The pending ask that a total belongs to, or None."""
+        pending = self.out.pop(total.ask, None)
+        if pending is None:
+            return None
+        counter = counter_of(pending.tenant)
+        self.failed.pop(counter, None)
+        if counter not in self.times:
+            self.times[counter] = Mean(10.0, now, now - pending.at, 0.1)
+        self.times[counter].add(now, now - pending.at)
+        return pending
+
+    def late(self, ask, counter):
+        """No answer in time."""
+        pending = self.out.pop(ask, None)
+        if pending is not None:
+            self.failed[counter] = self.failed.get(counter, 0) + 1
+        return pending
+
+    def fits(self, now, tenant, total):
+        """Does the total returned, of this request too, fit the limit?"""
+        tally = self._own(now, tenant)
+        estimate = total.previous * total.overlap + total.current
+        if estimate > 0:
+            part = min(1.0, (tally.estimate(now) + 1.0) / estimate)
+            self.share[tenant.name] = self.share.get(tenant.name, part) * (1 - DOUBT) + part * DOUBT
+        return estimate <= tally.limit
+
+    def fits_unasked(self, now, tenant, desks):
+        """Without an answer: our usual part of the limit, on our own counts."""
+        tally = self._own(now, tenant)
+        part = max(self.share.get(tenant.name, 0.0), 0.5 / max(1, desks))
+        return tally.estimate(now) + 1.0 <= max(1.0, BLIND_PART * part * tally.limit)
+
+    def took(self, now, tenant, counted):
+        """A request was let past; where no counter has it yet, its unit rides on the next add."""
+        tally = self._own(now, tenant)
+        tally.put(tally.bucket, 1.0)
+        if not counted:
+            self.owed[tenant.name] = self.owed.get(tenant.name, 0.0) + 1.0
+
+    def room_in(self, tenant, total):
+        """Seconds until the estimate may have room again."""
+        length, limit = shape(tenant.rate, tenant.burst)
+        spare = max(0.0, limit - 1.0 - total.current) / max(total.previous, 1e-9) if total is not None else 0.0
+        return max(0.05, (total.overlap if total is not None else 1.0) * length - spare * length)
--- /dev/null
+++ b/fernyard/exchange/tandem/shell.py
@@ -0,0 +1,352 @@
+"""Runs one control plane: calls, datagrams and the disk. Decides nothing: `Keeper`, `Watch`, `Board` and the lease do."""
+
+import asyncio
+import os
+import signal
+from concurrent.futures import ThreadPoolExecutor
+
+import aiohttp
+import msgspec
+
+from ..trunk import lease
+from ..trunk.board import Board
+from ..trunk.errors import ExchangeError, StoreError, WordError
+from ..trunk.logs import Part
+from ..trunk.messages import (NONE, Core, CoreBeat, Hello, LeaseAsk, LeaseGrant, News, Welcome, board_decode, encode)
+from ..trunk.settings import read as read_settings
+from ..trunk.wire import Datagrams, serve
+from . import keeper as k
+from . import word
+from .calls import find
+from .store import Store
+from .watch import TTL, Watch
+
+log = Part("tandem")
+ANSWER_WITHIN = 0.85        # a caller goes on to another gatekeeper after a second
+BEAT, CALL = 0.25, 1.0      # seconds: between beats, for a call of ours
+
+
+class Tandem:
+    def __init__(self, settings):
+        self.set, self.loop = settings, asyncio.get_running_loop()
+        self.now = self.loop.time
+        self.tickets, self.number, self.servers, self.tasks = {}, 0, [], []
+        self.store, loaded = None, {}
+        if settings.data_dir:
+            self.store = Store(settings.data_dir)
+            loaded = self.store.load()
+        life = int.from_bytes(os.urandom(6), "big")
+        self.me = Core(settings.node, settings.ip)
+        self.keeper = k.Keeper(self.now(), self.me, settings.voting and self.store is not None,
+                               settings.bootstrap, tuple(ip for ip, _ in settings.seeds), loaded, life)
+        self.watch = Watch(self.now(), settings.zones, settings.cloud_rate)
+        self.board, self.plan = Board(), None
+        self.granter = lease.Granter(self.now(), settings.bootstrap and not loaded)
+        self.holder = lease.Holder(settings.node)
+        self.disk = ThreadPoolExecutor(1)
+        self.datagrams = Datagrams(self.heard)
+        self.listing, self.fetching, self.stopped = None, None, self.loop.create_future()
+
+    async def run(self):
+        """Serves until told to stop."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, lambda: self.stopped.done() or self.stopped.set_result(None))
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=CALL), cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"))
+        await self.datagrams.open(self.set.trunk)
+        self.servers.append(await serve(self.handler("trunk"), self.set.trunk, 1 << 26))
+        for bind in "control", "dir":
+            if bind in self.set.binds:
+                self.servers.append(await serve(self.handler(bind), self.set.binds[bind], 1 << 26))
+        log.info("Control plane is up.", node=self.set.node, version=f"{self.keeper.kept[0]:08x}")
+        beats = self.loop.create_task(self.beats())
+        await self.stopped
+        beats.cancel()
+        for server in self.servers:
+            server.close()
+        await asyncio.sleep(0.2)            # what was asked is answered
+        await self.session.close()
+        self.datagrams.close()
+        log.info("Control plane has stopped.")
+
+    def reload(self):
+        try:
+            settings = read_settings()
+        except ExchangeError as why:
+            return log.warning("Settings are refused, the old ones stay.", **why.fields())
+        self.keeper.seeds = tuple(ip for ip, _ in settings.seeds)
+        log.info("Settings are read anew.")
+
+    def spawn(self, work):
+        task = self.loop.create_task(work)
+        self.tasks.append(task)
+        task.add_done_callback(self.tasks.remove)
+
+    # Orders of the keeper --------------------------------------------------------------------------------------------
+
+    def tell(self, event):
+        for order in self.keeper.step(self.now(), event):
+            DO[type(order)](self, order)
+
+    def do_save(self, order):
+        self.spawn(self.save(order))
+
+    async def save(self, order):
+        kept = True
+        try:
+            await self.loop.run_in_executor(self.disk, self.store.save, order.area, order.content)
+        except StoreError as why:
+            log.warning("The disk did not keep a state.", area=order.area, **why.fields())
+            kept = False
+        self.tell(k.Stored(order.area, order.content, kept))
+
+    def do_tell(self, order):
+        beat = self.keeper.beat(order.nonce, order.asks, self.board.mark)
+        ips = [order.ip] if order.ip else [core.ip for core in self.keeper.cores()]
+        for ip in ips:
+            if ip != self.set.ip:
+                self.datagrams.send(beat, (ip, self.set.ports[0]))
+
+    def do_push(self, order):
+        self.spawn(self.push(order))
+
+    async def push(self, order):
+        body = encode(k.Config(order.stamp, order.body))
+        try:
+            async with self.session.post(f"http://{order.ip}:{self.set.ports[0]}/trunk/config", data=body) as answer:
+                await answer.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            pass                            # it will see our beat and ask
+
+    def do_pull(self, order):
+        self.spawn(self.pull(order))
+
+    async def pull(self, order):
+        try:
+            async with self.session.get(f"http://{order.ip}:{self.set.ports[0]}/trunk/config") as answer:
+                if answer.status == 200:
+                    held = k.config_decode(await answer.read())
+                    self.tell(k.Pulled(tuple(held.stamp), held.body))
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+            pass                            # asked again at the next beat
+
+    def do_reply(self, order):
+        waiting = self.tickets.pop(order.ticket, None)
+        if waiting is not None and not waiting.done():
+            waiting.set_result((order.status, order.body))
+
+    def do_in_force(self, _):
+        keeper = self.keeper
+        if keeper.force != NONE and (self.plan is None or self.plan.stamp != keeper.force):
+            _, told = word.read(keeper.force_body)
+            self.plan = word.plan_of(keeper.force, told)
+        self.notify()
+
+    def notify(self):
+        """All switchboards hear at once that something is new; one that misses it hears at its next beat."""
+        welcome = self.welcome()
+        for hello in self.watch.alive(self.now()):
+            self.datagrams.send(welcome, (hello.ip, self.set.ports[0]))
+
+    def welcome(self):
+        keeper = self.keeper
+        count = sum(entry[0] for entry in keeper.force_evacuations.values())
+        return Welcome(self.set.node, keeper.cores(), keeper.force if self.plan else NONE, count, self.board.mark)
+
+    # Datagrams -------------------------------------------------------------------------------------------------------
+
+    def heard(self, message, address):
+        kind = type(message)
+        if kind is Hello:
+            self.watch.heard(self.now(), message)
+            self.datagrams.send(self.welcome(), address)
+        elif kind is CoreBeat:
+            self.tell(message)
+            if message.board > self.board.mark and not self.holder.holds(self.now()):
+                self.follow(message.ip)
+        elif kind is LeaseAsk:
+            granted = self.granter.ask(self.now(), message.node, message.epoch)
+            self.datagrams.send(LeaseGrant(self.set.node, message.ask, message.epoch, granted), address)
+        elif kind is LeaseGrant:
+            members = [core.node for core in self.keeper.members]
+            if self.holder.granted(self.now(), message.node, message.ask, message.epoch, message.granted, members):
+                log.info("The lease on the list is held here.", epoch=self.holder.epoch)
+
+    async def beats(self):
+        while True:
+            try:
+                self.tell(k.Tick())
+                self.duty()
+            except Exception:
+                log.fault("A beat broke.")
+            await asyncio.sleep(BEAT)
+
+    # The duty under the lease ----------------------------------------------------------------------------------------
+
+    def duty(self):
+        now, members = self.now(), self.keeper.members
+        if not self.keeper.member:
+            return
+        rank = [core.node for core in sorted(members, key=lambda core: core.node)].index(self.set.node)
+        others = self.granter.until if self.granter.holder != self.set.node else 0.0
+        seen = max(self.granter.epoch, self.board.mark[0], self.watch.highest)
+        ask = self.holder.due(now, rank, others, seen)
+        if ask is not None:
+            if self.granter.ask(now, self.set.node, ask[1]):
+                self.holder.granted(now, self.set.node, *ask, True, [core.node for core in members])
+            for core in members:
+                if core.node != self.set.node:
+                    self.datagrams.send(LeaseAsk(self.set.node, *ask), (core.ip, self.set.ports[0]))
+        if not self.holder.holds(now):
+            return
+        if seen > self.holder.epoch:
+            self.holder.outrun(seen)
+        if self.watch.list_due(now) and (self.listing is None or self.listing.done()):
+            self.watch.list_asked(now)
+            self.listing = self.loop.create_task(self.list_workers())
+        self.write()
+
+    def write(self):
+        now = self.now()
+        if self.holder.holds(now) and self.watch.listed is not None:
+            if self.board.write(self.holder.epoch, self.watch.listed, self.watch.desks(now)):
+                self.notify()
+
+    async def list_workers(self):
+        """The platform's list, page by page; what is not whole is not used."""
+        token = None
+        while True:
+            query = {"pageToken": token} if token else None
+            try:
+                async with self.session.get(
+                        f"http://{self.set.cloud[0]}:{self.set.cloud[1]}/workers", params=query) as answer:
+                    if answer.status != 200:
+                        return self.watch.list_failed(self.now(), answer.status == 429)
+                    told = msgspec.json.decode(await answer.read())
+                listed = told["instances"]
+                rows = [dict(zip(listed["cols"], row)) for row in listed["rows"]] if isinstance(listed, dict) else listed
+                token = told.get("nextCursor")
+                if self.watch.list_page(self.now(), rows, token):
+                    return self.write()
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                return self.watch.list_failed(self.now(), False)
+            except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as why:
+                log.warning("The list of workers cannot be read.", why=repr(why))
+                return self.watch.list_failed(self.now(), False)
+
+    def follow(self, ip):
+        if self.fetching is None or self.fetching.done():
+            self.fetching = self.loop.create_task(self.fetch_board(ip))
+
+    async def fetch_board(self, ip):
+        mark = self.board.mark
+        try:
+            async with self.session.get(f"http://{ip}:{self.set.ports[0]}/trunk/board",
+                                        params={"since": f"{mark[0]}.{mark[1]}"}) as answer:
+                if answer.status == 200 and self.board.follow(board_decode(await answer.read()), self.now()):
+                    self.notify()
+                    # The next holder of the lease begins with what the last one saw.
+                    self.watch.listed = dict(self.board.workers)
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+            pass                            # asked again at the next beat
+
+    # Calls -----------------------------------------------------------------------------------------------------------
+
+    def handler(self, bind):
+        async def handle(request):
+            found = find(request.method, request.path, bind)
+            if found is None:
+                return 404, b"", None
+            if found[0] is None:
+                return 405, b"", None
+            return await getattr(self, found[0].handler)(request, found[1])
+        return handle
+
+    async def ticket(self, make):
+        """The keeper's reply to one call, within the time that its caller waits."""
+        self.number += 1
+        number, waiting = self.number, self.loop.create_future()
+        self.tickets[number] = waiting
+        timer = self.loop.call_later(ANSWER_WITHIN, lambda: self.tell(k.Expired(number)))
+        again = self.loop.create_task(self.nudge(waiting))
+        self.tell(make(number))
+        try:
+            return await waiting
+        finally:
+            timer.cancel()
+            again.cancel()
+
+    async def nudge(self, waiting):
+        """A lost datagram must not cost a caller its answer."""
+        while not waiting.done():
+            await asyncio.sleep(k.ASK_AGAIN)
+            self.tell(k.Tick())
+
+    async def put_config(self, request, _):
+        body = await request.read()
+        try:
+            stamp, _ = word.read(body)
+        except WordError as why:
+            log.info("A configuration is refused.", **why.fields())
+            return 400, encode_json(why.fields()), JSON
+        status, _ = await self.ticket(lambda number: k.Put(number, stamp, body))
+        return status, b"", None
+
+    async def get_config(self, request, _):
+        status, body = await self.ticket(k.Get)
+        return status, body, JSON if status == 200 else None
+
+    async def evacuate(self, request, zone):
+        return await self.order(zone, True)
+
+    async def take_back(self, request, zone):
+        return await self.order(zone, False)
+
+    async def order(self, zone, on):
+        if zone not in self.set.zones:
+            return 404, b"", None
+        status, _ = await self.ticket(lambda number: k.Evacuate(number, zone, on))
+        return status, b"", None
+
+    async def status(self, request, _):
+        keeper, now = self.keeper, self.now()
+        return 200, encode_json({
+            "node": self.set.node, "version": f"{keeper.force[0]:08x}", "onDisk": f"{keeper.kept[0]:08x}",
+            "counts": keeper.synced, "members": [core.node for core in keeper.members],
+            "heard": {node: round(now - peer.at, 2) for node, peer in keeper.peers.items()},
+            "evacuated": [zone for zone, entry in keeper.force_evacuations.items() if entry[2]],
+            "listHere": self.holder.holds(now), "board": list(self.board.mark), "workers": len(self.board.workers),
+            "switchboards": [desk.node for desk in self.board.desks.values()]}), JSON
+
+    async def resolve(self, request, _):
+        desks = self.board.desks or self.watch.desks(self.now())
+        found = self.watch.resolve(self.now(), request.query.get("zone", ""), request.query.get("region", ""), desks)
+        if found is None:
+            return 503, b"", None
+        return 200, encode_json({"addrs": found, "ttlS": TTL}), JSON
+
+    async def trunk_store(self, request, _):
+        held = k.config_decode(await request.read())
+        self.tell(k.Pulled(tuple(held.stamp), held.body))
+        return 200, b"", None
+
+    async def trunk_config(self, request, _):
+        keeper = self.keeper
+        return (200, encode(k.Config(keeper.config, keeper.body)), None) if keeper.config != NONE else (404, b"", None)
+
+    async def trunk_news(self, request, _):
+        version, digest = (int(part) for part in request.query.get("since", "0.0").split("."))
+        plan = self.plan if self.plan is not None and self.plan.stamp > (version, digest) else None
+        return 200, encode(News(plan, self.keeper.force_evacuations)), None
+
+    async def trunk_board(self, request, _):
+        epoch, number = (int(part) for part in request.query.get("since", "0.0").split("."))
+        return 200, encode(self.board.since((epoch, number), self.now())), None
+
+
+JSON = {"Content-Type": "application/json"}
+encode_json = msgspec.json.encode
+DO = {k.Save: Tandem.do_save, k.Tell: Tandem.do_tell, k.Push: Tandem.do_push, k.Pull: Tandem.do_pull,
+      k.Reply: Tandem.do_reply, k.InForce: Tandem.do_in_force}
--- /dev/null
+++ b/fernyard/exchange/trunk/errors.py
@@ -0,0 +1,37 @@
+"""Errors with codes. Each layer has its own and turns those from below; docs/system-operators.md lists them."""
+
+from ...errors import FernyardError
+
+
+class ExchangeError(FernyardError):
+    """Base of the system's errors; `code` names the kind for operators."""
+
+    CODE = "X000"
+
+    def __str__(self):
+        return f"{self.CODE} {super().__str__()}"
+
+    def fields(self):
+        return {"code": self.CODE, **super().fields()}
+
+
+class SettingsError(ExchangeError):
+    CODE, DO = "S100", "mend the settings file named by FERNYARD_BOOT"
+
+
+class WordError(ExchangeError):
+    """A configuration that cannot be taken; answered 400."""
+
+    CODE, DO = "W200", "mend the configuration and send it again"
+
+
+class StoreError(ExchangeError):
+    """The disk did not keep what it was told to keep."""
+
+    CODE, DO = "D300", "look at the disk under dataDir: room, faults, time of a sync"
+
+
+class TrunkError(ExchangeError):
+    """Another process of the system did not answer as agreed."""
+
+    CODE, DO = "T400", "look at the other process and the link to it"
--- a/fernyard/workers/pool.py
+++ b/fernyard/workers/pool.py
@@ -25,6 +25,7 @@
     took: int
     body: bytes = b""
     headers: tuple[tuple[bytes, bytes], ...] = ()   # as they came
+    status: int = 0             # of the worker's answer, 0 where there was none whole
 
 
 class Broken(aiohttp.ClientError):
@@ -75,7 +76,7 @@
     def _late(self, number, dispatch):
         self.give_up(number, dispatch, End.TIMEOUT)
 
-    def _over(self, number, dispatch, end, body=b"", headers=()):
+    def _over(self, number, dispatch, end, body=b"", headers=(), status=0):
         """The one place where a dispatch ends: the first to tell of it counts."""
         out = self.out.pop((number, dispatch), None)
         if out is None:
@@ -83,14 +84,12 @@
         task, timer, worker, began = out
         timer.cancel()
         took = int((asyncio.get_running_loop().time() - began) * 10_000)
-        self.report(Outcome(number, dispatch, worker, end, took, body, headers))
+        self.report(Outcome(number, dispatch, worker, end, took, body, headers, status))
         return task
 
     async def _dispatch(self, number, dispatch, worker, address, req, limit):
-        headers = CIMultiDict(req.headers)
-        headers["Host"] = address
+        headers = self._headers(req, worker, address, limit)
         authority = self.connector.names.authority(worker, address)
-        headers["X-Time-Left"] = f"{limit / 10_000:.4f}"
         if self.connector.open >= self.limits.workers:
             headers["Connection"] = "close"
         try:
@@ -98,15 +97,8 @@
                     req.method, URL.build(scheme="http", authority=authority, path=req.path, encoded=True),
                     headers=headers, data=req.body or None, allow_redirects=False) as answer:
                 body = await self._body(answer)
-                if body is None:
-                    end = End.ERROR
-                elif answer.status == 200:
-                    end = End.PASSED
-                elif answer.status in (503, 504) and answer.headers.get("X-Unprocessed") == "1":
-                    end = End.FULL
-                else:
-                    end = End.ERROR
-                self._over(number, dispatch, end, body or b"", answer.raw_headers)
+                end = End.ERROR if body is None else self._end(req, answer)
+                self._over(number, dispatch, end, body or b"", answer.raw_headers, 0 if body is None else answer.status)
         except NeverUp:
             self._over(number, dispatch, End.NO_CONNECTION)
         except aiohttp.ClientError:
@@ -118,6 +110,20 @@
             log.exception("dispatch_fault", address=address)
             self._over(number, dispatch, End.RESET)
 
+    def _headers(self, req, worker, address, limit):
+        """The headers that a worker gets."""
+        headers = CIMultiDict(req.headers)
+        headers["Host"] = address
+        headers["X-Time-Left"] = f"{limit / 10_000:.4f}"
+        return headers
+
+    def _end(self, req, answer):
+        """How a dispatch with a whole answer ended."""
+        if answer.status == 200:
+            return End.PASSED
+        full = answer.status in (503, 504) and answer.headers.get("X-Unprocessed") == "1"
+        return End.FULL if full else End.ERROR
+
     async def _body(self, answer):
         """The whole body, or nothing where it is longer than may be: its connection is closed."""
         if (answer.content_length or 0) <= self.limits.answer_body:
