--- a/fernyard/exchange/__main__.py
+++ b/fernyard/exchange/__main__.py
@@ -53,6 +53,7 @@
 
 def _run(program):
     from .trunk.settings import read
+    set_up()        # again: a program may have brought in fernyard.log, which sets logs up for libraries
     settings = read()
 
     async def run():
--- a/fernyard/workers/connections.py
+++ b/fernyard/workers/connections.py
@@ -84,6 +84,9 @@
         piece = data if self.left >= len(data) else data[:self.left]
         super().data_received(piece)
         self.left -= len(piece)
+        if self.left == float("inf") and self._payload is not None and self._payload.is_eof():
+            # The last chunk came. Without this its connection stayed due, failed while idle, and the next request on it with it.
+            self.left = 0
         self.due = self.left > 0 and self._exception is None
         return data[len(piece):]
 
