--- a/fernyard/exchange/tandem/store.py
+++ b/fernyard/exchange/tandem/store.py
@@ -14,7 +14,7 @@
 from ..trunk.logs import Part
 
 log = Part("store")
-NAME = re.compile(r"([a-z]+)-([0-9]{10})\.dir")
+NAME = re.compile(r"([a-z]+)-([0-9]{10})\.(dir|dat|bak)")
 
 
 class Store:
@@ -40,7 +40,7 @@
                 continue
             area, number = match[1], int(match[2])
             self.number = max(self.number, number)
-            if area not in found:
+            if match[3] == "dir" and area not in found:
                 content = self._read(f"{area}-{match[2]}")
                 if content is not None:
                     found[area] = content
@@ -70,18 +70,20 @@
                 self.files.sync(base + end)
             self.files.sync(self.folder)
         except OSError as why:
+            # What was not kept is not read back either, where the disk allows that.
+            self._clear(lambda held, number, end: held == area and number == self.number)
             raise StoreError(why.strerror or str(why), base) from None
-        self._clear(area)
+        self._clear(lambda held, number, end: held == area and (number < self.number or end == "bak"))
 
-    def _clear(self, area):
-        """Older states go; one that stays does no harm."""
+    def _clear(self, goes):
+        """Files that are not the state go; one that stays does no harm."""
         try:
             for name in sorted(self.files.listdir(self.folder)):
-                match = re.fullmatch(rf"{area}-([0-9]{{10}})\.(dat|dir|bak)", name)
-                if match and (int(match[1]) < self.number or match[2] == "bak"):
+                match = NAME.fullmatch(name)
+                if match and goes(match[1], int(match[2]), match[3]):
                     self.files.remove(os.path.join(self.folder, name))
         except OSError as why:
-            log.warning("Older files could not be removed.", why=str(why))
+            log.warning("Files could not be removed.", why=str(why))
 
 
 class Files:
--- a/fernyard/exchange/trunk/settings.py
+++ b/fernyard/exchange/trunk/settings.py
@@ -93,13 +93,12 @@
                 name, _, value = part.partition("=")
                 bounds[name.strip()] = _figure(value.strip())
         caps, cloud = take("caps", dict, {}), take("cloud", dict, {})
-        field = "cloud"
+        field, cloud = "cloud", (_address(cloud["addr"]) if "addr" in cloud else None, float(cloud.get("ratePerS", 10.0)))
         return Settings(
             node=take("node", str), ip=take("ip", str), zone=take("zone", str), region=take("region", str),
             ports=ports, seeds=seeds, bootstrap=take("bootstrap", bool, False), voting=take("voting", bool, False),
             zones=take("zones", dict, {}), binds=binds, bounds=bounds, data_dir=take("dataDir", str, ""),
             memory_mb=float(caps.get("memMb", 256)), descriptors=int(caps.get("maxFds", 1024)),
-            cloud=_address(cloud["addr"]) if "addr" in cloud else None,
-            cloud_rate=float(cloud.get("ratePerS", 10.0)))
+            cloud=cloud[0], cloud_rate=cloud[1])
     except (ValueError, TypeError) as why:
         raise SettingsError(f"{field} {why}", where) from None
--- /dev/null
+++ b/tests/exchange/test_soft_state.py
@@ -0,0 +1,176 @@
+"""Soft state that is told again: the lease, the board, how news reaches a zone, who watches whom."""
+
+import testtools
+from testtools.matchers import Equals
+
+from fernyard.exchange.switchboard.follow import Follower
+from fernyard.exchange.tandem.watch import SILENT, Watch
+from fernyard.exchange.trunk import lease, rendezvous
+from fernyard.exchange.trunk.board import REMEMBERED, Board
+from fernyard.exchange.trunk.messages import NONE, Desk, Hello, Worker, board_decode, encode
+
+MEMBERS = ["a", "b", "c"]
+
+
+class TestLease(testtools.TestCase):
+    def votes(self, now, holders, granters, cut=()):
+        """One round of asks; who holds it then."""
+        for rank, (name, holder) in enumerate(sorted(holders.items())):
+            own = granters[name]
+            others = own.until if own.holder != name else 0.0
+            ask = holder.due(now, rank, others, max(g.epoch for g in granters.values()))
+            if ask:
+                for other, granter in granters.items():
+                    if name + other not in cut and other + name not in cut:
+                        holder.granted(now, other, *ask, granter.ask(now, name, ask[1]), MEMBERS)
+        return [name for name, holder in holders.items() if holder.holds(now)]
+
+    def test_never_two(self):
+        """Whatever links are cut, a second holder never begins before the first has stopped."""
+        for cut in ((), ("ab", "ac"), ("ab",), ("bc", "ab"), ("ac", "bc", "ab")):
+            holders = {name: lease.Holder(name) for name in MEMBERS}
+            granters = {name: lease.Granter(0.0, True) for name in MEMBERS}
+            now, seen = 0.0, []
+            while now < 12.0:
+                held = self.votes(now, holders, granters, cut if 3.0 < now < 8.0 else ())
+                self.assertTrue(len(held) <= 1, (cut, now, held))
+                seen += held
+                now = round(now + 0.05, 6)
+            self.assertTrue(seen[-1:], cut)
+
+    def test_cut_off_holder_stops_and_another_begins(self):
+        holders = {name: lease.Holder(name) for name in MEMBERS}
+        granters = {name: lease.Granter(0.0, True) for name in MEMBERS}
+        now = 0.0
+        while now < 2.0:
+            self.votes(now, holders, granters)
+            now = round(now + 0.05, 6)
+        self.assertTrue(holders["a"].holds(now))
+        epoch = holders["a"].epoch
+        while now < 6.0:
+            held = self.votes(now, holders, granters, ("ab", "ac"))
+            now = round(now + 0.05, 6)
+        self.assertThat(held, Equals(["b"]))
+        self.assertTrue(holders["b"].epoch > epoch)
+
+    def test_granter_that_restarted_waits(self):
+        granter = lease.Granter(5.0, False)
+        self.assertFalse(granter.ask(5.1, "a", 9))
+        self.assertTrue(granter.ask(5.0 + lease.LENGTH, "a", 9))
+        self.assertFalse(granter.ask(5.1 + lease.LENGTH, "b", 9))
+        self.assertFalse(granter.ask(9.0 + lease.LENGTH, "b", 8))
+
+
+def worker(number, **told):
+    return Worker(f"w{number}", "s", f"10.1.0.{number}:1", "z", 4, told.get("draining", False), told.get("cold", 0.0))
+
+
+class TestBoard(testtools.TestCase):
+    def follow(self, follower, leader, now=0.0, shift=0.0):
+        news = board_decode(encode(leader.since(follower.mark, now)))
+        return follower.follow(news, now + shift)
+
+    def test_snapshot_then_changes(self):
+        leader, follower = Board(), Board()
+        leader.write(1, {"w1": worker(1), "w2": worker(2)}, {})
+        self.assertTrue(self.follow(follower, leader))
+        leader.write(1, {"w2": worker(2, draining=True), "w3": worker(3)}, {})
+        news = leader.since(follower.mark, 0.0)
+        self.assertThat(sorted(news.workers), Equals(["w1", "w2", "w3"]))
+        self.assertTrue(self.follow(follower, leader))
+        self.assertThat(follower.workers, Equals(leader.workers))
+        self.assertFalse(leader.write(1, dict(leader.workers), {}))
+
+    def test_far_behind_takes_a_snapshot(self):
+        leader, follower = Board(), Board()
+        for number in range(REMEMBERED + 5):
+            leader.write(1, {f"w{number}": worker(number)}, {})
+            if number == 0:
+                self.follow(follower, leader)
+        self.assertTrue(self.follow(follower, leader))
+        self.assertThat(follower.workers, Equals(leader.workers))
+
+    def test_never_back(self):
+        old, new, follower = Board(), Board(), Board()
+        old.write(3, {"w1": worker(1)}, {})
+        new.write(4, {"w2": worker(2)}, {})
+        self.assertTrue(self.follow(follower, new))
+        self.assertFalse(self.follow(follower, old))
+        self.assertThat(sorted(follower.workers), Equals(["w2"]))
+
+    def test_times_are_turned_into_the_followers_clock(self):
+        leader, follower = Board(), Board()
+        leader.write(1, {"w1": worker(1, cold=103.0)}, {})
+        self.follow(follower, leader, now=100.0, shift=-60.0)
+        self.assertThat(follower.workers["w1"].cold_until, Equals(43.0))
+
+
+class TestFollower(testtools.TestCase):
+    def follower(self, node="b"):
+        follower = Follower(node, "z")
+        follower.desks = {name: Desk(name, f"ip-{name}", "z", "r", "", True) for name in "ab"}
+        return follower
+
+    def test_home_asks_at_once_others_wait_for_it(self):
+        home = self.follower().home()
+        other = "a" if home == "b" else "b"
+        self.assertThat(len(self.follower(home).heard(0.0, "core", (5, 1), 0, NONE)), Equals(1))
+        waits = self.follower(other)
+        self.assertThat(waits.heard(0.0, "core", (5, 1), 0, NONE), Equals([]))
+        pulls = waits.heard(0.05, f"ip-{home}", (5, 1), 0, NONE, home=True)
+        self.assertThat([pull.ip for pull in pulls], Equals([f"ip-{home}"]))
+
+    def test_silent_home_is_passed_by(self):
+        home = self.follower().home()
+        waits = self.follower("a" if home == "b" else "b")
+        waits.heard(0.0, "core", (5, 1), 0, NONE)
+        self.assertThat(waits.due(0.1), Equals([]))
+        self.assertThat([pull.ip for pull in waits.due(0.3)], Equals(["core"]))
+        self.assertThat(waits.due(0.35), Equals([]))            # it is being asked
+        waits.heard(0.4, "core2", (5, 1), 0, NONE)
+        waits.got(0.6, "core2", (5, 1), 0, NONE, waits.desks)
+        self.assertThat(waits.due(1.0), Equals([]))
+
+    def test_same_few_wherever_asked(self):
+        names = [f"n{number}" for number in range(40)]
+        named = rendezvous.few("key", names, 3)
+        self.assertThat(rendezvous.few("key", list(reversed(names)), 3), Equals(named))
+        less = [name for name in names if name != named[0]]
+        self.assertThat(rendezvous.few("key", less, 3)[:2], Equals(named[1:]))
+
+
+def hello(node, zone="z1", region="r1", ready=True, leaving=False):
+    return Hello(node, 1, f"ip-{node}", zone, region, f"{node}:80", ready, leaving, NONE, NONE)
+
+
+class TestWatch(testtools.TestCase):
+    def test_resolve(self):
+        watch = Watch(0.0, {"z1": "r1", "z2": "r1", "z3": "r2"}, 40.0)
+        for node, zone, region in (("a", "z1", "r1"), ("b", "z1", "r1"), ("c", "z2", "r1"), ("d", "z3", "r2")):
+            watch.heard(0.0, hello(node, zone, region))
+        for zone, region, gone, wanted in (
+                ("z1", "r1", (), ["a:80", "b:80"]), ("z2", "r1", (), ["a:80", "b:80", "c:80"]),
+                ("z1", "r1", ("a",), ["b:80", "c:80"]), ("z1", "r1", ("a", "b", "c", "d"), None)):
+            desks = {node: desk for node, desk in watch.desks(0.1).items() if node not in gone}
+            self.assertThat(watch.resolve(0.1, zone, region, desks), Equals(wanted), (zone, gone))
+        self.assertThat(len(watch.resolve(0.1, "z3", "r2", watch.desks(0.1))), Equals(2 + 1))
+
+    def test_silent_and_leaving_go(self):
+        watch = Watch(0.0, {}, 40.0)
+        watch.heard(0.0, hello("a"))
+        watch.heard(1.0, hello("b"))
+        watch.heard(1.0, hello("c", leaving=True))
+        self.assertThat(sorted(watch.desks(SILENT + 0.1)), Equals(["b"]))
+
+    def test_list_is_used_whole_and_a_spell_told_again_is_no_change(self):
+        watch = Watch(0.0, {}, 40.0)
+        row = {"id": "w1", "svc": "s", "addr": "x:1", "zone": "z", "capacity": 3, "phase": "ready", "coldLeftS": 2.0}
+        self.assertFalse(watch.list_page(0.0, [row], "next"))
+        self.assertThat(watch.listed, Equals(None))
+        self.assertTrue(watch.list_page(0.0, [{**row, "id": "w2", "coldLeftS": None, "phase": "draining"}], None))
+        first = watch.listed
+        self.assertTrue(first["w2"].draining)
+        watch.list_page(0.5, [{**row, "coldLeftS": 1.4}], None)
+        self.assertThat(watch.listed["w1"], Equals(first["w1"]))
+        watch.list_page(5.0, [{**row, "coldLeftS": 3.0}], None)
+        self.assertNotEqual(watch.listed["w1"], first["w1"])
