--- a/fernyard/exchange/__main__.py
+++ b/fernyard/exchange/__main__.py
@@ -49,6 +49,12 @@
         print(answer.read().decode())
 
 
+def slopes():
+    """Measure what one more route, tenant, worker or switchboard costs each part (docs/CAPACITY.md)."""
+    from .slopes import main as measure
+    measure()
+
+
 def _run(program):
     from .trunk.settings import read
     set_up()        # again: a program may have brought in fernyard.log, which sets logs up for libraries
@@ -66,7 +72,7 @@
             # The daemons alone do without the command line's library: a tenth of a second earlier back in service.
             return {"switchboard": switchboard, "tandem": tandem}[sys.argv[1]]()
         import defopt
-        defopt.run([switchboard, tandem, check, status], argv=sys.argv[1:])
+        defopt.run([switchboard, tandem, check, status, slopes], argv=sys.argv[1:])
     except ExchangeError as why:
         log.warning("Cannot go on.", **why.fields())
         sys.exit(2)
--- a/fernyard/exchange/switchboard/front.py
+++ b/fernyard/exchange/switchboard/front.py
@@ -1,6 +1,7 @@
 """The clients' side, on the gatekeeper's own connections (`fernyard.clients`). Decides nothing."""
 
 import asyncio
+from dataclasses import replace
 
 import attrs
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
@@ -84,6 +85,12 @@
             response.force_close()
         return response
 
+    def caps(self, plan):
+        """What clients may send and how long they may take, as the configuration in force says."""
+        limits = replace(self.limits, body=plan.body_bytes, whole_req=plan.header_timeout, client_idle=plan.idle_timeout)
+        if limits != self.limits:
+            self.limits = self.connections.limits = limits
+
     def answer(self, number, status, body=b"", headers=None):
         waiting = self.waiting.get(number)
         if waiting is not None and not waiting.done():
--- a/fernyard/exchange/switchboard/shell.py
+++ b/fernyard/exchange/switchboard/shell.py
@@ -185,6 +185,8 @@
             if pull.plan:
                 stamp = self.follower.held.config
                 self.post(t.Planned(news_decode(await self.get(pull.ip, "news", stamp))))
+                if self.switch.routes is not None:
+                    self.front.caps(self.switch.routes.plan)
             if pull.board:
                 self.post(t.Boarded(board_decode(await self.get(pull.ip, "board", self.switch.board.mark))))
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
--- a/fernyard/exchange/switchboard/switch.py
+++ b/fernyard/exchange/switchboard/switch.py
@@ -33,7 +33,7 @@
         self.board, self.entries = Board(), {}
         self.quota = Quota(settings.node, life)
         self.workers = Workers(settings.node, settings.zone, settings.region, settings.zones, self.random)
-        self.budgets, self.sent, self.unserved = {}, 0, 0
+        self.budgets, self.counters, self.sent, self.unserved = {}, {}, 0, 0
 
     def step(self, now, told):
         self.now, self.orders = now, []
@@ -134,7 +134,10 @@
         return fits, total
 
     def _counter(self, name):
-        return rendezvous.first(name, self.board.desks)
+        """The switchboard that holds a tenant's counts; remembered while the same ones live."""
+        if name not in self.counters:
+            self.counters[name] = rendezvous.first(name, self.board.desks)
+        return self.counters[name]
 
     def _uncounted(self, req, ask, counter):
         if self.quota.late(ask, counter) is not None and req is not None and not req.closed:
@@ -251,6 +254,7 @@
 
     def _boarded(self, told):
         if self.board.follow(told.news, self.now):
+            self.counters = {}
             self.workers.board(self.now, self.board.workers, self.board.desks)
 
     # Timers ----------------------------------------------------------------------------------------------------------
--- /dev/null
+++ b/tests/exchange/test_news.py
@@ -0,0 +1,116 @@
+"""A change reaches every data plane in touch, whoever of a zone is its home, cut off, frozen or gone."""
+
+import testtools
+from testtools.matchers import Equals
+
+from fernyard.exchange.switchboard.follow import Follower
+from fernyard.exchange.trunk.messages import NONE, Desk
+
+STEP, BEAT, PULL = 0.05, 0.4, 0.8
+
+
+class Zone:
+    """Control planes that hold a stamp each, and the switchboards of one zone; pulls take one step, a hung one its
+    time-out."""
+
+    def __init__(self, names="abc", cores=("c1", "c2")):
+        self.now, self.cores, self.names = 0.0, {core: (1, 0) for core in cores}, names
+        self.desks = {name: Desk(name, name, "z", "r", "", True) for name in names}
+        self.held = {name: (1, 0) for name in names}
+        self.followers, self.cut, self.dead, self.pulls, self.lost = {}, [], [], [], False
+        for name in names:
+            follower = self.followers[name] = Follower(name, "z")
+            follower.got(0.0, "", (1, 0), 0, NONE, self.desks)
+
+    @property
+    def home(self):
+        return self.followers[self.names[0]].home()
+
+    def reaches(self, a, b):
+        return not {a, b} & set(self.dead) and (a, b) not in self.cut and (b, a) not in self.cut
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.now = round(self.now + STEP, 6)
+            for name in self.names:
+                if name not in self.dead:
+                    self.step(name)
+
+    def step(self, name):
+        follower = self.followers[name]
+        if abs(self.now / BEAT - round(self.now / BEAT)) < 1e-6:
+            for core, stamp in self.cores.items():
+                if self.reaches(name, core):
+                    self.ask(name, follower.heard(self.now, core, stamp, 0, NONE))
+        self.ask(name, follower.due(self.now))
+        for pull in [pull for pull in self.pulls if pull[0] == name and pull[2] <= self.now]:
+            self.pulls.remove(pull)
+            if self.reaches(name, pull[1]):
+                self.held[name] = max(self.held[name], self.cores.get(pull[1]) or self.held[pull[1]])
+                follower.got(self.now, pull[1], self.held[name], 0, NONE, self.desks)
+                if follower.home() == name and not self.lost:
+                    for other, _ in follower.neighbours():
+                        if self.reaches(name, other):
+                            self.ask(other, self.followers[other].heard(self.now, name, self.held[name], 0, NONE, True))
+
+    def ask(self, name, pulls):
+        for pull in pulls:
+            took = STEP if self.reaches(name, pull.ip) else PULL
+            self.pulls.append((name, pull.ip, self.now + took))
+
+    def publish(self, stamp, cores=None):
+        for core in cores or self.cores:
+            self.cores[core] = stamp
+        for name in self.names:
+            for core in cores or self.cores:
+                if name not in self.dead and self.reaches(name, core) and not self.lost:
+                    self.ask(name, self.followers[name].heard(self.now, core, stamp, 0, NONE))
+
+
+class TestNews(testtools.TestCase):
+    def test_in_force_in_time(self):
+        cases = {
+            "calm": lambda zone: None,
+            "the home is dead, not known yet": lambda zone: zone.dead.append(zone.home),
+            "the home is cut off from the control planes": lambda zone: zone.cut.extend(
+                (zone.home, core) for core in zone.cores),
+            "the home is cut off from its neighbours": lambda zone: zone.cut.extend(
+                (zone.home, name) for name in zone.names if name != zone.home),
+            "one control plane is dead": lambda zone: zone.dead.append("c1"),
+            "one control plane is cut off from all": lambda zone: zone.cut.extend(("c1", name) for name in zone.names),
+            "every notice is lost": lambda zone: setattr(zone, "lost", True),
+        }
+        for name, harm in cases.items():
+            zone = Zone()
+            zone.run(1.0)
+            harm(zone)
+            zone.publish((2, 7))
+            zone.run(2.0)
+            wanted = [n for n in zone.names if n not in zone.dead and any(
+                zone.reaches(n, other) for other in (*zone.cores, *zone.names) if other != n and other not in zone.dead
+                and (other in zone.cores or zone.reaches(other, "c1") or zone.reaches(other, "c2")))]
+            for n in wanted:
+                if name == "the home is cut off from the control planes" and n == zone.home:
+                    continue        # not in touch: told once its links are back
+                self.assertThat(zone.held[n], Equals((2, 7)), (name, n))
+
+    def test_stale_control_plane_takes_nobody_back(self):
+        zone = Zone()
+        zone.publish((5, 1), ["c2"])
+        zone.run(2.0)
+        self.assertThat(set(zone.held.values()), Equals({(5, 1)}))
+        zone.run(2.0)
+        self.assertThat(set(zone.held.values()), Equals({(5, 1)}))
+
+    def test_home_asks_for_its_zone(self):
+        """In calm times one of a zone asks a control plane, whatever its size."""
+        zone = Zone("abcdefgh")
+        zone.run(1.0)
+        asked = []
+        real = zone.ask
+        zone.ask = lambda name, pulls: (asked.extend((name, pull.ip) for pull in pulls), real(name, pulls))
+        zone.publish((2, 7))
+        zone.run(0.3)
+        self.assertThat({name for name, ip in asked if ip in zone.cores}, Equals({zone.home}))
+        self.assertThat(set(zone.held.values()), Equals({(2, 7)}))
