--- a/fernyard/exchange/tandem/shell.py
+++ b/fernyard/exchange/tandem/shell.py
@@ -203,9 +203,8 @@
         if not self.keeper.member:
             return
         rank = [core.node for core in sorted(members, key=lambda core: core.node)].index(self.set.node)
-        others = self.granter.until if self.granter.holder != self.set.node else 0.0
         seen = max(self.granter.epoch, self.board.mark[0], self.watch.highest)
-        ask = self.holder.due(now, rank, others, seen)
+        ask = self.holder.due(now, rank, self.granter.until, seen)
         if ask is not None:
             if self.granter.ask(now, self.set.node, ask[1]):
                 self.holder.granted(now, self.set.node, *ask, True, [core.node for core in members])
--- a/fernyard/exchange/trunk/lease.py
+++ b/fernyard/exchange/trunk/lease.py
@@ -2,7 +2,7 @@
 steady clock: the holder from when it asked, the granter from when it granted. Free of I/O."""
 
 LENGTH, MARGIN, RENEW = 1.0, 0.1, 0.25       # seconds
-TURN = 0.15                                 # between the first tries of two that would take it
+TURN = 0.3                                  # between the first tries of two that would take it
 
 
 class Granter:
@@ -19,33 +19,45 @@
 
 
 class Holder:
-    """One that would do the duty. `rank`: its place among those that would, 0 asks first."""
+    """One that would do the duty. Those that would take turns by rank, counted from when their votes are free; else all
+    ask at once, each votes for itself, and they do so again together whenever the votes end (seen on the bench: no list
+    for a whole day). One whose asks nobody answers lets ever longer pauses, in which the others' votes are free: its
+    answers alone may be cut off."""
 
     def __init__(self, node):
         self.node, self.until, self.epoch, self.asked = node, 0.0, 0, 0
-        self.asked_at, self.grants, self.next_at = 0.0, [], 0.0
+        self.asked_at, self.grants, self.next_at, self.failed = 0.0, [], 0.0, 0
 
     def holds(self, now):
         return now < self.until
 
-    def due(self, now, rank, others_until, epoch_seen):
-        """The ask to send now, as (ask, epoch), or None. `others_until`: until when we granted it to another."""
-        if now < self.next_at or not self.holds(now) and now < others_until + rank * TURN:
+    def due(self, now, rank, free_at, epoch_seen):
+        """The ask to send now, as (ask, epoch), or None. `rank`: our place among those that would do the duty; `free_at`:
+        until when our own vote is given to whomever."""
+        if now < self.next_at:
             return None
-        if not self.holds(now):
-            self.epoch = max(self.epoch, epoch_seen) + 1
-        self.asked, self.asked_at, self.grants, self.next_at = self.asked + 1, now, [], now + RENEW
+        if self.holds(now):
+            self.next_at = now + RENEW
+        else:
+            if now < free_at + rank * TURN:
+                return None
+            self.epoch, self.failed = max(self.epoch, epoch_seen) + 1, self.failed + 1
+            self.next_at = now + LENGTH + 2 * TURN * self.failed
+        self.asked, self.asked_at, self.grants = self.asked + 1, now, []
         return self.asked, self.epoch
 
     def granted(self, now, node, ask, epoch, granted, members):
         """A vote came; True if it made us the holder."""
-        if ask != self.asked or epoch != self.epoch or not granted or node in self.grants or node not in members:
+        if ask != self.asked or epoch != self.epoch or node in self.grants or node not in members:
+            return False
+        if not granted:
+            self.next_at = min(self.next_at, now + RENEW)       # others hear us and we them: soon again
             return False
         self.grants.append(node)
         if len(self.grants) * 2 <= len(members):
             return False
         began = not self.holds(now)
-        self.until = max(self.until, self.asked_at + LENGTH - MARGIN)
+        self.until, self.failed, self.next_at = max(self.until, self.asked_at + LENGTH - MARGIN), 0, self.asked_at + RENEW
         return began and self.holds(now)
 
     def outrun(self, epoch):
--- a/tests/exchange/test_soft_state.py
+++ b/tests/exchange/test_soft_state.py
@@ -13,16 +13,25 @@
 
 
 class TestLease(testtools.TestCase):
-    def votes(self, now, holders, granters, cut=()):
-        """One round of asks; who holds it then."""
+    def votes(self, now, holders, granters, cut=(), later={}):
+        """One round of asks, sent all at once and then heard; who holds it then. `later`: who starts when."""
+        asks = []
         for rank, (name, holder) in enumerate(sorted(holders.items())):
-            own = granters[name]
-            others = own.until if own.holder != name else 0.0
-            ask = holder.due(now, rank, others, max(g.epoch for g in granters.values()))
+            if now < later.get(name, 0.0):
+                continue
+            ask = holder.due(now, rank, granters[name].until, max(g.epoch for g in granters.values()))
             if ask:
-                for other, granter in granters.items():
-                    if name + other not in cut and other + name not in cut:
-                        holder.granted(now, other, *ask, granter.ask(now, name, ask[1]), MEMBERS)
+                asks.append((name, *ask))
+        for name, *ask in asks:
+            # One's own vote is given when one asks, before any other's ask is heard.
+            holders[name].granted(now, name, *ask, granters[name].ask(now, name, ask[1]), MEMBERS)
+        for name, *ask in asks:
+            for other, granter in granters.items():
+                if other == name or name + other in cut:
+                    continue
+                granted = granter.ask(now, name, ask[1])
+                if other + name not in cut:
+                    holders[name].granted(now, other, *ask, granted, MEMBERS)
         return [name for name, holder in holders.items() if holder.holds(now)]
 
     def test_never_two(self):
@@ -53,6 +62,21 @@
         self.assertThat(held, Equals(["b"]))
         self.assertTrue(holders["b"].epoch > epoch)
 
+    def test_all_at_once(self):
+        """All begin in the same moment and beat in step: one of them soon holds it, and keeps it."""
+        holders = {name: lease.Holder(name) for name in MEMBERS}
+        granters = {name: lease.Granter(0.0, True) for name in MEMBERS}
+        held = [self.votes(0.2 * step, holders, granters) for step in range(40)]
+        self.assertThat(held[10:], Equals([held[10]] * 30))
+        self.assertThat(len(held[10]), Equals(1))
+
+    def test_one_whose_answers_are_cut_off_does_not_keep_the_votes(self):
+        """Its asks arrive and take the votes, what is granted does not come back: another must get them in the end."""
+        holders = {name: lease.Holder(name) for name in MEMBERS}
+        granters = {name: lease.Granter(0.0, True) for name in MEMBERS}
+        held = [self.votes(0.2 * step, holders, granters, ("ba", "ca")) for step in range(40)]
+        self.assertIn(["b"], held[:26])
+
     def test_granter_that_restarted_waits(self):
         granter = lease.Granter(5.0, False)
         self.assertFalse(granter.ask(5.1, "a", 9))
