Trial: dark gatekeepers are taken off and forgotten by clients sooner; near workers first looked at

Change: a gatekeeper is silent after 1.1 s (beats each 0.3 s), answers hold 1 s; far workers are not looked at while near ones are nearly idle.

--- a/fernyard/exchange/switchboard/shell.py
+++ b/fernyard/exchange/switchboard/shell.py
@@ -23,7 +23,7 @@
 from .switch import Switch
 
 log = Part("switchboard")
-BEAT, PULL = 0.4, 0.8               # seconds: between beats, for a pull
+BEAT, PULL = 0.3, 0.8               # seconds: between beats, for a pull
 WATCHERS = 5                        # control planes that watch one switchboard
 STAY, LAST = 2.2, 0.4               # seconds: after SIGTERM new connections are taken; before SIGKILL all is written
 
--- a/fernyard/exchange/switchboard/workers.py
+++ b/fernyard/exchange/switchboard/workers.py
@@ -8,7 +8,7 @@
 BENCH_AFTER, BENCH, LONGEST_BENCH = 2, 0.4, 3.0
 SLOW_TAU, WORK_TAU, FAILED_AS = 6.0, 8.0, 3.0           # seconds; a failure weighs as an answer so many times slow
 GUESS = 0.2                                             # of a route's target, until answers tell the usual time
-ZONE_AWAY, REGION_AWAY = 0.35, 2.5                      # cost in usual times of another zone, another region
+AWAY, BEST, CHANCE = (0.0, 0.35, 2.5), 0.75, 0.02       # cost in usual times of tiers; the least without it; of chance
 HEAVY_AWAY = 4.0                                        # so many times that cost, for large answers
 FILL, QUEUE = 0.75, 2.0                                 # of the places: from where one more waits; most out, in places
 COLD_DESKS, COLD_PART = 3, 0.55                         # switchboards that send to a cold worker; of what it bears
@@ -31,6 +31,10 @@
         self.known, self.services, self.usual = {}, {}, {}
         self.evacuated, self.back_at, self.desks, self.senders = {}, {}, {}, {}
 
+    def _tier(self, worker):
+        """0 in our zone, 1 in our region, 2 elsewhere."""
+        return 0 if worker.told.zone == self.zone else 1 if worker.region == self.region else 2
+
     # What is told ----------------------------------------------------------------------------------------------------
 
     def board(self, now, workers, desks):
@@ -45,7 +49,7 @@
             known[id] = worker
         self.known, self.services = known, {}
         for worker in known.values():
-            self.services.setdefault(worker.told.service, []).append(worker)
+            self.services.setdefault(worker.told.service, ([], [], []))[self._tier(worker)].append(worker)
         if desks.keys() != self.desks.keys():
             self.senders = {}
         self.desks = desks
@@ -67,7 +71,16 @@
         """The worker that is to get the request, or None; `most`: seconds that it may wait there."""
         usual = self.usual_of(now, route)
         best, best_cost = None, None
-        for worker in self.services.get(service.name, ()):
+        for tier, workers in enumerate(self.services.get(service.name, ())):
+            away = AWAY[tier] * (HEAVY_AWAY if route.kind == "egress" else 1.0)
+            if best is not None and best_cost < away + BEST:
+                break                   # none further away can be better
+            best, best_cost = self._best(now, workers, away, service, homes, tried, most / usual, best, best_cost)
+        return best
+
+    def _best(self, now, workers, away, service, homes, tried, most, best, best_cost):
+        """The best of `workers` and its cost, or what was the best before them."""
+        for worker in workers:
             told = worker.told
             if told.draining or worker.wrong or told.id in tried or self.evacuated.get(told.zone) or now < worker.benched:
                 continue
@@ -76,26 +89,18 @@
             if worker.out >= QUEUE * told.capacity or self._cold(now, worker, service) and not self._warms(
                     now, worker, service):
                 continue
-            cost = self._cost(now, worker, usual, route)
-            if (best is None or cost < best_cost) and self._wait(worker) * usual <= most:
+            wait = self._wait(worker)
+            cost = worker.slow.read(now) * (1.0 + 2.0 * wait + worker.out / max(1, told.capacity)) + away
+            cost += CHANCE * self.random.random()
+            if (best is None or cost < best_cost) and wait <= most:
                 best, best_cost = worker, cost
-        return best
+        return best, best_cost
 
     def _wait(self, worker):
         """Usual times that a request waits there for a place, by what is out from here."""
         places = max(1.0, FILL * worker.told.capacity)
         return max(0.0, worker.out + 1 - places) / places
 
-    def _cost(self, now, worker, usual, route):
-        away = 0.0
-        if worker.told.zone != self.zone:
-            away = ZONE_AWAY if worker.region == self.region else REGION_AWAY
-            if route.kind == "egress":
-                away *= HEAVY_AWAY
-        load = worker.out / max(1, worker.told.capacity)
-        slow = worker.slow.read(now)
-        return slow * (1.0 + 2.0 * self._wait(worker) + load) + away + 0.02 * self.random.random()
-
     def _cold(self, now, worker, service):
         back = self.back_at.get(worker.told.zone)
         return now < worker.cold_until or back is not None and now < back + service.cold_s + COLD_MARGIN
--- a/fernyard/exchange/tandem/watch.py
+++ b/fernyard/exchange/tandem/watch.py
@@ -6,11 +6,11 @@
 from ..trunk import rendezvous
 from ..trunk.messages import Desk, Worker
 
-SILENT = 1.4                # seconds without a beat until a switchboard is taken off
+SILENT = 1.1                # seconds without a beat until a switchboard is taken off
 LIST_EVERY = 0.7            # between two looks at the platform's list, for a list that lags by about as much
 LIST_PART = 0.2             # of the rate that the platform grants to all
 COLD_GUESS = 1.0            # added to a cold spell told, for the way of the news
-ADDRESSES, FEW, TTL = 64, 2, 2.0        # of an answer to clients: at most, at least, seconds
+ADDRESSES, FEW, TTL = 64, 2, 1.0        # of an answer to clients: at most, at least, seconds
 STRANGERS = 2.0             # seconds after a start in which only switchboards heard are named, where any is
 BOARD_KEPT = 1.0            # between two times that the board is kept on disk
 
