Large answers are paced on narrow links, so that small ones and beats find them nearly free

Cause (grown sites, links of 2 to 3 Mbit/s): requests late by 0.5 to 2.6 s at usual work times, a changed route in force 0.9 s late at one gatekeeper: an answer of 90 to 540 kB fills its link for up to 2 s before all else. Ruled out: processor (2.6% of 43%); bounds on socket buffers alone (p99 2.7 s as before). Change: large answers together get 0.7 of a narrow link each way, in pieces of 4 kB; wide links as before; the pause within an answer is borne for 3 s there.

--- a/fernyard/exchange/switchboard/follow.py
+++ b/fernyard/exchange/switchboard/follow.py
@@ -6,7 +6,7 @@
 from ..trunk import rendezvous
 from ..trunk.messages import NONE
 
-HOME_WAIT, PULL_AGAIN = 0.25, 0.4       # seconds until a silent home is passed by, until a pull is tried elsewhere
+HOME_WAIT, PULL_AGAIN = 0.25, 0.6       # seconds until a silent home is passed by, until a pull is tried elsewhere
 
 
 @attrs.define
--- a/fernyard/exchange/switchboard/front.py
+++ b/fernyard/exchange/switchboard/front.py
@@ -7,11 +7,13 @@
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
 from aiohttp.web_protocol import RequestPayloadError
 from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import StreamResponse
 from multidict import CIMultiDict
 
 from ...clients.connections import Connections, Written
 from ...clients.read import passed_on
 from ..trunk.logs import Part
+from .pace import PIECE, SMALL
 from .types import Asked, Gone
 
 log = Part("front")
@@ -33,8 +35,9 @@
 class Front:
     """Reads requests and writes answers; `report` hears `Asked` and `Gone`."""
 
-    def __init__(self, limits, report, counts):
-        self.limits, self.report, self.counts = limits, report, counts
+    def __init__(self, limits, report, counts, pace):
+        """`pace`: of large answers on their way out."""
+        self.limits, self.report, self.counts, self.pace = limits, report, counts, pace
         self.number, self.waiting, self.taken, self.stopping, self.connections = 0, {}, {}, False, None
 
     def listen(self, address):
@@ -80,11 +83,30 @@
         finally:
             self.waiting.pop(number, None)
             self.taken.pop(number, None)
+        if self.pace.rate and len(body) > SMALL:
+            return await self._in_pieces(request, status, body, told)
         response = self._response(status, body, told, lambda: self.connections.ended(connection))
         if connection.behind:
             response.force_close()
         return response
 
+    async def _in_pieces(self, request, status, body, headers):
+        """A large answer, so that small ones come between its pieces on a narrow link."""
+        loop, response = asyncio.get_running_loop(), StreamResponse(status=status, headers=headers)
+        response.content_length = len(body)
+        if self.stopping or request.protocol.behind:
+            response.force_close()
+        await response.prepare(request)
+        for begin in range(0, len(body), PIECE):
+            if begin:           # and no pause after the last: the client may send its next request at once
+                await asyncio.sleep(self.pace.take(loop.time(), PIECE))
+            await response.write(body[begin:begin + PIECE])
+        await response.write_eof()
+        self.connections.ended(request.protocol)
+        if request.protocol.behind:
+            request.protocol.drop()         # what came before the answer's end was not read
+        return response
+
     def caps(self, plan):
         """What clients may send and how long they may take, as the configuration in force says."""
         limits = replace(self.limits, body=plan.body_bytes, whole_req=plan.header_timeout, client_idle=plan.idle_timeout)
--- a/fernyard/exchange/switchboard/lines.py
+++ b/fernyard/exchange/switchboard/lines.py
@@ -1,17 +1,37 @@
 """Requests to workers, on the gatekeeper's own connections (`fernyard.workers`): what they are sent and how their answers
 are read (PROTOCOL.md)."""
 
+import asyncio
+
 from multidict import CIMultiDict
 
 from ...interface import End
 from ...workers import WorkerPool
+from .pace import PIECE, SMALL
 
 WORKERS_OWN = ("Deadline-Ms", "Key", "Tenant", "Want-Worker", "Keep-Alive", "Connection")
 LATER = 0.015               # seconds that we wait beyond what a worker is told
 
 
 class Lines(WorkerPool):
-    """`req` of `send` is a `front.Taken`; a worker is told to run as the life that is meant, and no other."""
+    """`req` of `send` is a `front.Taken`; a worker is told to run as the life that is meant, and no other. `pace`: of large
+    answers on their way in."""
+
+    def __init__(self, limits, report, pace):
+        super().__init__(limits, report)
+        self.pace = pace
+
+    async def _body(self, answer):
+        """A large one is read no faster than its part of a narrow link: what is not read holds its worker up."""
+        if not self.pace.rate or not SMALL < (answer.content_length or 0) <= self.limits.answer_body:
+            return await super()._body(answer)
+        loop, chunks = asyncio.get_running_loop(), []
+        while not answer.content.at_eof():
+            chunk = await answer.content.read(PIECE)
+            chunks.append(chunk)
+            if not answer.content.at_eof():
+                await asyncio.sleep(self.pace.take(loop.time(), len(chunk)))
+        return b"".join(chunks)
 
     def _headers(self, req, worker, address, limit):
         headers = CIMultiDict(req.headers)
--- a/fernyard/exchange/switchboard/shell.py
+++ b/fernyard/exchange/switchboard/shell.py
@@ -19,6 +19,7 @@
 from .follow import Follower
 from .front import Front
 from .lines import Lines
+from .pace import Pace
 from .quota import Ledger
 from .switch import Switch
 
@@ -35,7 +36,7 @@
     buffer = int(settings.link_mbps * 125_000 * ON_THE_WAY)
     return Limits(
         body=1 << 26, answer_body=1 << 24, clients=sockets // 2, clients_unused=sockets // 4, workers=sockets // 3,
-        workers_known=4096, answer=0.5, answer_head=16 * 1024, counters=0, backlog=512, line=16 * 1024, lines=128, ids=0,
+        workers_known=4096, answer=0.5 if buffer >= WIDE else 3.0, answer_head=16 * 1024, counters=0, backlog=512, line=16 * 1024, lines=128, ids=0,
         units=0.0, client_idle=15.0, whole_req=3.0, first_room=0.1, sweep=0.25, worker_rest=0.01, worker_idle=4.5,
         connect=0.4, count=0.0, counter_silence=0.0, counter_pause=0.0, counter_owed=0, watch=0.0, watch_grace=0.0,
         watch_crowd=0.0, watch_longest_pause=0.0, watch_spread=0.0, watch_pause=0.0, accept_after_stop=STAY,
@@ -52,8 +53,9 @@
         self.ledger = Ledger()
         self.follower = Follower(settings.node, settings.zone)
         self.cores = [Core(f"seed-{ip}", ip) for ip, _ in settings.seeds]
-        self.front = Front(self.limits, self.post, self.counts)
-        self.lines = Lines(self.limits, self.post)
+        link = settings.link_mbps * 125_000 if self.limits.buffer else 0.0
+        self.front = Front(self.limits, self.post, self.counts, Pace(link))
+        self.lines = Lines(self.limits, self.post, Pace(link))
         self.datagrams = Datagrams(self.heard)
         self.tasks, self.alarm, self.alarm_at, self.leaving = [], None, None, False
         self.stopped = self.loop.create_future()
@@ -174,7 +176,7 @@
                     self.spawn(self.pull(pull))
             except Exception:
                 log.fault("A beat broke.")
-            await asyncio.sleep(BEAT / 4 if not self.switch.serves or self.follower.since is not None else BEAT)
+            await asyncio.sleep(BEAT / 2 if not self.switch.serves or self.follower.since is not None else BEAT)
 
     # News ------------------------------------------------------------------------------------------------------------
 
