Many switchboards that share workers draw a few by chance and take the best of those

Change: of the workers that fit, as many as one's part of the zone are drawn, two at least; the best of them is taken. With one switchboard in a zone as before.

--- a/fernyard/exchange/switchboard/workers.py
+++ b/fernyard/exchange/switchboard/workers.py
@@ -13,7 +13,7 @@
 FILL, QUEUE = 0.75, 2.0                                 # of the places: from where one more waits; most out, in places
 COLD_DESKS, COLD_PART = 3, 0.55                         # switchboards that send to a cold worker; of what it bears
 COLD_MARGIN = 1.0                                       # seconds past the end of a spell that was told
-REMEMBERED = 200
+REMEMBERED, FEWEST_DRAWN = 200, 2
 
 
 class Worker:
@@ -29,7 +29,7 @@
     def __init__(self, node, zone, region, zones, random):
         self.node, self.zone, self.region, self.zones, self.random = node, zone, region, zones, random
         self.known, self.services, self.usual = {}, {}, {}
-        self.evacuated, self.back_at, self.desks, self.senders = {}, {}, {}, {}
+        self.evacuated, self.back_at, self.desks, self.senders, self.sharers = {}, {}, {}, {}, 1
 
     def _tier(self, worker):
         """0 in our zone, 1 in our region, 2 elsewhere."""
@@ -52,7 +52,7 @@
             self.services.setdefault(worker.told.service, ([], [], []))[self._tier(worker)].append(worker)
         if desks.keys() != self.desks.keys():
             self.senders = {}
-        self.desks = desks
+        self.desks, self.sharers = desks, sum(desk.zone == self.zone for desk in desks.values())
 
     def zones_told(self, now, evacuated):
         """{zone: True while nothing may go there}. Taken back, its workers may be cold, unknown to any list."""
@@ -80,6 +80,7 @@
 
     def _best(self, now, workers, away, service, homes, tried, most, best, best_cost):
         """The best of `workers` and its cost, or what was the best before them."""
+        fit = []
         for worker in workers:
             told = worker.told
             if told.draining or worker.wrong or told.id in tried or self.evacuated.get(told.zone) or now < worker.benched:
@@ -89,8 +90,13 @@
             if worker.out >= QUEUE * told.capacity or self._cold(now, worker, service) and not self._warms(
                     now, worker, service):
                 continue
+            fit.append(worker)
+        # Where many share the workers each sees little of what is out there, and the ones that all think best are the ones
+        # that all jam: then the best of a few drawn by chance.
+        drawn = max(FEWEST_DRAWN, -(-len(fit) // max(1, self.sharers)))
+        for worker in fit if len(fit) <= drawn else self.random.sample(fit, drawn):
             wait = self._wait(worker)
-            cost = worker.slow.read(now) * (1.0 + 2.0 * wait + worker.out / max(1, told.capacity)) + away
+            cost = worker.slow.read(now) * (1.0 + 2.0 * wait + worker.out / max(1, worker.told.capacity)) + away
             cost += CHANCE * self.random.random()
             if (best is None or cost < best_cost) and wait <= most:
                 best, best_cost = worker, cost
--- a/tests/exchange/test_quota.py
+++ b/tests/exchange/test_quota.py
@@ -162,3 +162,23 @@
             most = most_in(sent, 1.0)
             self.assertTrue(0 < most <= rate * 1.5 + 5, (desks, most))
             self.assertTrue(len(sent) > 12 * rate * 0.1, (desks, len(sent)))
+
+
+class TestShared(testtools.TestCase):
+    def test_many_that_share_workers_do_not_all_jam_the_best(self):
+        """Ten switchboards of a zone know the same three of sixteen workers as quick: those must not get most of all."""
+        service, route = Service("s", 3.0, 12.0, 100), SimpleNamespace(name="r", target=1.0, kind="idempotent")
+        board = {f"w{number}": Worker(f"w{number}", "s", "a:1", "z", 3, False) for number in range(16)}
+        desks = {f"n{number}": Desk(f"n{number}", "", "z", "r", "", True) for number in range(10)}
+        got = dict.fromkeys(board, 0)
+        for number in range(10):
+            workers = Workers(f"n{number}", "z", "r", {"z": "r"}, random.Random(number))
+            workers.board(0.0, board, desks)
+            for name in ("w0", "w1", "w2"):
+                for _ in range(8):
+                    workers.known[name].slow.add(0.0, 0.7)
+            for _ in range(40):
+                worker = workers.choose(0.0, service, route, None, (), 1.0)
+                got[worker.told.id] += 1
+        self.assertTrue(max(got.values()) <= 2.5 * 400 / 16, got)
+        self.assertTrue(min(got.values()) >= 5, got)
