--- a/fernyard/exchange/switchboard/quota.py
+++ b/fernyard/exchange/switchboard/quota.py
@@ -98,10 +98,6 @@
         tally.roll(now)
         return tally
 
-    def recent(self, now, tenant):
-        tally = self._own(now, tenant)
-        return tally.estimate(now)
-
     def ask(self, now, tenant, counter, board, done):
         """(Count to send, seconds to wait for its answer; 0: the counter was silent, decide now)."""
         tally = self._own(now, tenant)
--- a/fernyard/exchange/trunk/errors.py
+++ b/fernyard/exchange/trunk/errors.py
@@ -29,9 +29,3 @@
     """The disk did not keep what it was told to keep."""
 
     CODE, DO = "D300", "look at the disk under dataDir: room, faults, time of a sync"
-
-
-class TrunkError(ExchangeError):
-    """Another process of the system did not answer as agreed."""
-
-    CODE, DO = "T400", "look at the other process and the link to it"
