--- a/fernyard/exchange/tandem/word.py
+++ b/fernyard/exchange/tandem/word.py
@@ -102,7 +102,7 @@
         msgspec.json.decode(body, type=msgspec.Raw)
         return body.decode()
     except (msgspec.MsgspecError, UnicodeDecodeError) as why:
-        raise ValueError(str(why)) from None
+        raise WordError(f"cannot be read whole: {str(why)[:200]}") from None
 
 
 def _check(path, known):
--- a/fernyard/exchange/trunk/settings.py
+++ b/fernyard/exchange/trunk/settings.py
@@ -10,10 +10,14 @@
 KINDS = {"true": True, "false": False}
 
 
+class BadField(ValueError):
+    """What is wrong with a field; `parse` says which field."""
+
+
 def _address(text):
     host, _, port = str(text).rpartition(":")
     if not host or not port.isdigit():
-        raise ValueError(f"no address: {text!r}")
+        raise BadField(f"no address: {text!r}")
     return host, int(port)
 
 
@@ -77,15 +81,15 @@
         field = name
         value = told.get(name, default)
         if value is None:
-            raise ValueError("is missing")
+            raise BadField("is missing")
         if not isinstance(value, kind) or isinstance(value, bool) and kind is not bool:
-            raise ValueError(f"is not as it should be: {value!r}")
+            raise BadField(f"is not as it should be: {value!r}")
         return value
 
     try:
         ports = tuple(take("portRange", list))
         if len(ports) != 2 or not all(isinstance(port, int) for port in ports) or ports[0] > ports[1]:
-            raise ValueError("is no pair of ports")
+            raise BadField("is no pair of ports")
         seeds = tuple(_address(text) for text in take("seedAddrs", list))
         binds = {name: _address(text) for name, text in take("binds", dict, {}).items()}
         bounds = {}
