One question for one worker more, and nothing counted twice, on the path of a request

Found on the last reading: _path asked in its own words what _may_send asks, counted connections that req.missed already lists, and the keeper had its membership test twice.

--- a/fernyard/exchange/switchboard/switch.py
+++ b/fernyard/exchange/switchboard/switch.py
@@ -73,11 +73,10 @@
         allowed = homes(route, tenant)
         budget = self._budget(service.name)
         budget.request(self.now)
-        connects = 0
         while True:
             again = bool(req.tried)
             worker = None
-            if len(req.tried) < route.tries and (not again or budget.may(self.now, len(self.board.desks))):
+            if self._may_send(req, budget):
                 most = min(WAIT_PART * route.target, req.left_at - self.now - MARGIN)
                 worker = self.workers.choose(self.now, service, route, allowed, (*req.tried, *req.missed), most)
             if worker is not None and self.now < req.left_at - MARGIN:
@@ -94,8 +93,7 @@
             if ended.end is End.NO_CONNECTION:
                 req.tried.remove(ended.worker)
                 req.missed.append(ended.worker)
-                connects += 1
-                if connects >= CONNECTS and not req.out:
+                if len(req.missed) >= CONNECTS and not req.out:
                     return self._give_up(req)
             elif ended.end not in NEVER_RAN:
                 req.ran = True
@@ -109,7 +107,9 @@
                     req.ran = True
 
     def _may_send(self, req, budget):
-        return len(req.tried) < req.route.tries and budget.may(self.now, len(self.board.desks))
+        """One worker more: the first is free of the budget."""
+        again = bool(req.tried)
+        return len(req.tried) < req.route.tries and (not again or budget.may(self.now, len(self.board.desks)))
 
     def _admit(self, tenant, req):
         """One add of the request's unit; the total returned decides. Without an answer, our part of the limit does."""
--- a/fernyard/exchange/tandem/keeper.py
+++ b/fernyard/exchange/tandem/keeper.py
@@ -187,7 +187,7 @@
 
     @property
     def member(self):
-        return any(core.node == self.me.node for core in self.members)
+        return self._is_member(self.me.node)
 
     def cores(self):
         """All control planes known: the members, and those heard of late."""
