Orders are checked whole: times, aims, places, weights, keys and numbers

Now refused as well: timeouts and aims that are not above 0 or not finite, two routes in one place (host without regard to case, prefix), weights that are not finite or all 0, one key under two accounts, services or accounts named twice, numbers out of range (tries, ranks, limits, caps), an empty key. The complaint never holds a key. Equal route names stay allowed, for nothing forbids them.

What is on disk was acknowledged once: `parse` reads it without the checks.

Two tables of cases: what is refused, what must never be refused. Without the change the new cases fail.

--- a/fernyard/cluster/control_plane/configuration.py
+++ b/fernyard/cluster/control_plane/configuration.py
@@ -1,6 +1,6 @@
 """The operator's configuration: read and checked with pyserde, and turned into the plan that gateways follow."""
 
-import math
+import re
 from hashlib import sha256
 
 import msgspec
@@ -11,6 +11,8 @@
 from ..common.messages import Plan, Route, Service, Tenant
 
 KINDS = ("idempotent", "mutating", "egress")
+VERSION = re.compile("[0-9a-fA-F]{8}")
+LARGEST = 2.0**53  # of all numbers: whole ones are exact up to here, in JSON as in a double
 
 
 @serde(rename_all="camelcase")
@@ -77,22 +79,26 @@
 
 
 def read(body):
-    """A configuration (bytes of JSON) as (stamp, Configuration), checked whole; ConfigurationError says what is wrong."""
+    """An order of the operator (bytes of JSON) as (stamp, Configuration), checked whole; ConfigurationError says what is
+    wrong with it."""
+    stamp, told = parse(body)
+    _check_services(told.svcs)
+    _check_caps(told.caps)
+    _check_accounts(told.accounts or [])
+    _check_routes(told.vhosts, {service.name for service in told.svcs})
+    return stamp, told
+
+
+def parse(body):
+    """The same without the checks, for a body that was acknowledged before: it stays in force, also where an earlier
+    build of this program checked less."""
     try:
         told = from_json(Configuration, _plain(body))
-    except (SerdeError, ValueError, TypeError, RecursionError) as why:
+    except (SerdeError, ValueError, TypeError, RecursionError, OverflowError) as why:
         raise ConfigurationError(f"cannot be read whole: {str(why)[:200]}") from None
-    if len(told.ver) != 8:
+    if VERSION.fullmatch(told.ver) is None:
         raise ConfigurationError("ver is not of eight hexadecimal digits", told.ver)
-    try:
-        version = int(told.ver, 16)
-    except ValueError:
-        raise ConfigurationError("ver is not of eight hexadecimal digits", told.ver) from None
-    known = {service.name for service in told.svcs}
-    for vhost in told.vhosts:
-        for path in vhost.paths:
-            _check(path, known)
-    return (version, int.from_bytes(sha256(body).digest()[:6], "big")), told
+    return (int(told.ver, 16), int.from_bytes(sha256(body).digest()[:6], "big")), told
 
 
 def _plain(body):
@@ -104,23 +110,84 @@
         raise ConfigurationError(f"cannot be read whole: {str(why)[:200]}") from None
 
 
-def _check(path, known):
-    if not path.prefix.startswith("/"):
-        raise ConfigurationError("prefix does not begin with a slash", path.name)
-    if path.kind not in KINDS:
-        raise ConfigurationError(f"kind is none of {', '.join(KINDS)}", path.name)
-    if path.svc is None and not path.split:
-        raise ConfigurationError("neither svc nor split", path.name)
-    for share in path.split:
-        if not math.isfinite(share.weight) or share.weight < 0:
-            raise ConfigurationError("a weight is below 0", path.name)
+def _require(holds, complaint, where):
+    if not holds:
+        raise ConfigurationError(complaint, where)
+
+
+def _require_above_zero(field_name, value, where):
+    _require(0 < value <= LARGEST, f"{field_name} is not above 0 and finite", where)
+
+
+def _require_zero_or_more(field_name, value, where):
+    _require(0 <= value <= LARGEST, f"{field_name} is below 0 or not finite", where)
+
+
+def _check_services(services):
+    names = set()
+    for service in services:
+        _require(service.name not in names, "two services have this name", service.name)
+        names.add(service.name)
+        _require_above_zero("maxConns", service.max_conns, service.name)
+        _require_zero_or_more("coldS", service.cold_s, service.name)
+        _require_zero_or_more("coldRateS", service.cold_rate_s, service.name)
+
+
+def _check_caps(caps):
+    _require_above_zero("headerBytes", caps.header_bytes, "caps")
+    _require_zero_or_more("bodyBytes", caps.body_bytes, "caps")
+    _require_above_zero("headerTimeoutS", caps.header_timeout_s, "caps")
+    _require_above_zero("idleTimeoutS", caps.idle_timeout_s, "caps")
+
+
+def _check_accounts(accounts):
+    names, owners = set(), {}
+    for account in accounts:
+        _require(account.name not in names, "two accounts have this name", account.name)
+        names.add(account.name)
+        _require_zero_or_more("ratePerS", account.rate_per_s, account.name)
+        _require_zero_or_more("burstMax", account.burst_max, account.name)
+        if account.prio is not None:
+            _require_zero_or_more("prio", account.prio, account.name)
+        for key in account.apikeys:
+            _require(key != "", "a key is empty", account.name)
+            # The key itself is a secret: the complaint names its two holders.
+            owner = owners.setdefault(key, account.name)
+            _require(owner == account.name, f"one of its keys is also a key of {owner}", account.name)
+
+
+def _check_routes(vhosts, known):
+    places = set()
+    for vhost in vhosts:
+        for path in vhost.paths:
+            place = (vhost.host.lower(), path.prefix)
+            _require(place not in places, f"another route has the host and prefix {path.prefix}", path.name)
+            places.add(place)
+            _check_route(path, known)
+
+
+def _check_route(path, known):
+    _require(path.prefix.startswith("/"), "prefix does not begin with a slash", path.name)
+    _require(path.kind in KINDS, f"kind is none of {', '.join(KINDS)}", path.name)
+    _require_above_zero("timeoutS", path.timeout_s, path.name)
+    _require_above_zero("targetS", path.target_s, path.name)
+    _require_above_zero("tries", path.tries, path.name)
+    _require_zero_or_more("prio", path.prio, path.name)
+    _require(path.svc is not None or path.split, "neither svc nor split", path.name)
+    if path.split:
+        _check_weights([share.weight for share in path.split], path.name)
     for named in ([path.svc] if path.svc is not None else []) + [share.svc for share in path.split]:
-        if named not in known:
-            raise ConfigurationError(f"names an unknown service {named}", path.name)
+        _require(named in known, f"names an unknown service {named}", path.name)
+
+
+def _check_weights(weights, where):
+    for weight in weights:
+        _require(0 <= weight <= LARGEST, "a weight is below 0 or not finite", where)
+    _require(sum(weights) > 0, "all weights are 0", where)
 
 
 def plan_of(stamp, told):
-    """What gateways need of a configuration; of routes under one prefix the last stands."""
+    """What gateways need of a configuration; of routes in one place the last stands."""
     accounts = told.accounts or []
     hosts = {}
     for vhost in told.vhosts:
--- a/tests/cluster/test_configuration.py
+++ b/tests/cluster/test_configuration.py
@@ -39,6 +39,44 @@
     return json.dumps(told).encode()
 
 
+def replaced(old, new):
+    """The bytes of a valid configuration with one part replaced, for what `json.dumps` would not write."""
+    body = config()
+    assert old in body, old
+    return body.replace(old, new)
+
+
+def service(**changes):
+    return config(svcs=[{"name": "s1", **changes}, {"name": "s2"}])
+
+
+def caps(**changes):
+    return config(caps={"headerBytes": 16384, "bodyBytes": 1000, "headerTimeoutS": 3, "idleTimeoutS": 15, **changes})
+
+
+def account(**changes):
+    return config(accounts=[{"name": "t1", "apikeys": ["k1"], **changes}])
+
+
+def split(*weights):
+    return config(path={"svc": None, "split": [{"svc": "s1", "weight": weight} for weight in weights]})
+
+
+def hosts(*places):
+    return config(
+        vhosts=[
+            {"host": host, "paths": [{"name": f"r{number}", "prefix": prefix, "kind": "idempotent", "svc": "s1"}]}
+            for number, (host, prefix) in enumerate(places)
+        ]
+    )
+
+
+def tenants(*holders):
+    return config(accounts=[{"name": name, "apikeys": keys} for name, keys in holders])
+
+
+ENDLESS = b"1e999"  # a number in JSON that no double holds
+
 REFUSED = {
     "cut short": config()[:-7],
     "nothing": b"",
@@ -54,6 +92,82 @@
     "a version of five digits": config(ver="0000c"),
     "a version that is no number": config(ver="0000zzzz"),
     "routes of another type": config(vhosts=[{"host": "h", "paths": {"a": 1}}]),
+    "bytes behind the end": config() + b"}",
+    "nested without end": b"[" * 100_000,
+    "a version that Python alone reads": config(ver="0x00000c"),
+    "a version with a sign": config(ver="+000000c"),
+    "a version that is a number": config(ver=12),
+    "a version of nine digits": config(ver="00000000c"),
+    "a timeout of 0": config(path={"timeoutS": 0}),
+    "a timeout below 0": config(path={"timeoutS": -2}),
+    "an endless timeout": replaced(b'"timeoutS": 2', b'"timeoutS": ' + ENDLESS),
+    "a timeout that is no number": replaced(b'"timeoutS": 2', b'"timeoutS": NaN'),
+    "a timeout that is text": config(path={"timeoutS": "2"}),
+    "a timeout without a value": config(path={"timeoutS": None}),
+    "an aim of 0": config(path={"targetS": 0}),
+    "an aim below 0": config(path={"targetS": -0.5}),
+    "an endless aim": replaced(b'"timeoutS": 2', b'"targetS": ' + ENDLESS),
+    "no tries": config(path={"tries": 0}),
+    "half a try": config(path={"tries": 1.5}),
+    "tries beyond all numbers": config(path={"tries": 10**30}),
+    "a rank below 0": config(path={"prio": -1}),
+    "one place twice": hosts(("h.example", "/a/"), ("h.example", "/a/")),
+    "one place twice, the host in other letters": hosts(("h.example", "/a/"), ("H.Example", "/a/")),
+    "an odd kind in other letters": config(path={"kind": "Idempotent"}),
+    "all weights 0": split(0, 0),
+    "the only weight 0": split(0),
+    "an endless weight": replaced(b'"weight": 2.5', b'"weight": ' + ENDLESS),
+    "an endless weight below 0": replaced(b'"weight": 2.5', b'"weight": -' + ENDLESS),
+    "a weight below 0 beside others": split(3, -1),
+    "no service behind an empty split": config(path={"svc": None, "split": []}),
+    "a service named twice": config(svcs=[{"name": "s1"}, {"name": "s2"}, {"name": "s1"}]),
+    "a service without connections": service(maxConns=0),
+    "a cold spell below 0": service(coldS=-1),
+    "a cold rate below 0": service(coldRateS=-1.0),
+    "an account named twice": tenants(("t1", ["k1"]), ("t1", ["k2"])),
+    "a key under two tenants": tenants(("t1", ["k1", "k2"]), ("t2", ["k3", "k1"])),
+    "an empty key": account(apikeys=[""]),
+    "a quota below 0": account(ratePerS=-1),
+    "a burst below 0": account(burstMax=-1),
+    "a tenant's rank below 0": account(prio=-1),
+    "no header bytes": caps(headerBytes=0),
+    "body bytes below 0": caps(bodyBytes=-1),
+    "no time for a header": caps(headerTimeoutS=0),
+    "no idle time": caps(idleTimeoutS=0),
+    "an endless idle time": replaced(b'"idleTimeoutS": 15', b'"idleTimeoutS": ' + ENDLESS),
+}
+
+TAKEN = {
+    "fields that nobody knows": config(unknown={"field": 1}),
+    "capital digits in the version": config(ver="0000000C"),
+    "white space behind the end": config() + b" \n",
+    "version 0": config(ver="00000000"),
+    "short times": config(path={"timeoutS": 0.001, "targetS": 0.001}),
+    "an aim beyond the timeout": config(path={"timeoutS": 1, "targetS": 2}),
+    "the most urgent rank": config(path={"prio": 0}),
+    "one weight of several 0": split(0, 5),
+    "weights that are fractions": split(0.001, 0.999),
+    "a service twice in one split": split(1, 2),
+    "one prefix on two hosts": hosts(("h.example", "/a/"), ("g.example", "/a/")),
+    "a prefix inside another": hosts(("h.example", "/a/"), ("h.example", "/a/b/"), ("h.example", "/")),
+    "prefixes that differ in letters": hosts(("h.example", "/a/"), ("h.example", "/A/")),
+    "a host in two parts": hosts(("h.example", "/a/"), ("H.example", "/b/")),
+    "a route name on two hosts": config(
+        vhosts=[
+            {"host": host, "paths": [{"name": "r", "prefix": "/a/", "kind": "egress", "svc": "s1"}]}
+            for host in ("g", "h")
+        ]
+    ),
+    "no routes": config(vhosts=[]),
+    "no accounts at all": config(accounts=None),
+    "an empty list of accounts": config(accounts=[]),
+    "a tenant whose keys were all taken away": account(apikeys=[]),
+    "a key twice under one tenant": account(apikeys=["k1", "k1"]),
+    "a tenant without a limit": account(ratePerS=0, burstMax=0),
+    "a tenant without a rank": account(prio=None),
+    "a service that is never cold": service(coldS=0, coldRateS=0),
+    "no bodies at all": caps(bodyBytes=0),
+    "hundreds of routes": hosts(*[("h.example", f"/p{number}/") for number in range(500)]),
 }
 
 
@@ -82,6 +196,28 @@
             error = self.assertRaises(ConfigurationError, configuration.read, body)
             self.assertIn("W200", str(error), name)
 
+    def test_taken_too(self):
+        """What no rule forbids is taken: a valid change that is refused has its price."""
+        for name, body in TAKEN.items():
+            try:
+                configuration.plan_of(*configuration.read(body))
+            except ConfigurationError as why:
+                self.fail(f"{name}: {why}")
+
+    def test_acknowledged_by_an_earlier_build(self):
+        """What lies on a disk was acknowledged once: it is read back without the checks of new orders."""
+        body = config(path={"timeoutS": 0, "tries": 0})
+        self.assertRaises(ConfigurationError, configuration.read, body)
+        stamp, told = configuration.parse(body)
+        self.assertThat(stamp[0], Equals(12))
+        self.assertThat(configuration.plan_of(stamp, told).hosts["h.example"][0].tries, Equals(1))
+
+    def test_no_key_in_a_complaint(self):
+        error = self.assertRaises(ConfigurationError, configuration.read, REFUSED["a key under two tenants"])
+        self.assertIn("t1", str(error))
+        self.assertIn("t2", str(error))
+        self.assertNotIn("k1", str(error))
+
     def test_calls(self):
         for method, path, serves, wanted in (
             ("PUT", "/-/config", "control", "put_config"),
