--- a/fernyard/cluster/control_plane/process.py
+++ b/fernyard/cluster/control_plane/process.py
@@ -21,6 +21,7 @@
 from .messages import Received, ReplicaHeartbeat, StoredBody, decode, decode_body, encode
 from .recovery import recover
 from .replica import ASK_AGAIN, Replica, ReplicaSettings
+from .state import NO_CONFIGURATION
 from .store import Store
 from .worker_list import WorkerListDuty
 
@@ -181,8 +182,8 @@
     def do_publish(self, _):
         replica = self.replica
         wanted = replica.state.configuration
-        if wanted.version and (self.plan is None or self.plan.id != str(wanted)):
-            _, told = configuration.read(replica.bodies.content(wanted))
+        if wanted != NO_CONFIGURATION and (self.plan is None or self.plan.id != str(wanted)):
+            _, told = configuration.parse(replica.bodies.content(wanted))
             self.plan = configuration.plan_of(wanted, told)
         self.notify()
 
--- a/fernyard/cluster/control_plane/state.py
+++ b/fernyard/cluster/control_plane/state.py
@@ -130,9 +130,10 @@
 
     def apply(self, state):
         held = state.configuration
+        if held == NO_CONFIGURATION:
+            return _changed(state, configuration=self.id)
         if self.id.version > held.version:
-            recent = (held, *state.recent) if held != NO_CONFIGURATION else state.recent
-            return _changed(state, configuration=self.id, recent=recent[:REMEMBERED_NUMBERS])
+            return _changed(state, configuration=self.id, recent=(held, *state.recent)[:REMEMBERED_NUMBERS])
         for known in (held, *state.recent):
             if known.version == self.id.version and known != self.id:
                 raise NumberTaken(known)
