A candidate that asked in vain no longer refuses the holder of the lease

Change: a refusal tells the epoch that was voted for, the holder goes above it; nobody asks while another's heartbeats say that it holds the lease; one that leaves stops renewing. Test: fails without the holder going above.

--- a/fernyard/cluster/common/lease.py
+++ b/fernyard/cluster/common/lease.py
@@ -27,6 +27,7 @@
     def __init__(self, node):
         self.node, self.until, self.epoch, self.asked = node, 0.0, 0, 0
         self.asked_at, self.grants, self.next_at, self.failed = 0.0, [], 0.0, 0
+        self.outbid = 0
 
     def holds(self, now):
         return now < self.until
@@ -38,14 +39,21 @@
             return None
         if self.holds(now):
             self.next_at = now + RENEW
+            if self.outbid > self.epoch:
+                self.epoch = max(self.outbid, epoch_seen) + 1
         else:
             if now < free_at + rank * TURN:
                 return None
-            self.epoch, self.failed = max(self.epoch, epoch_seen) + 1, self.failed + 1
+            self.epoch, self.failed = max(self.epoch, epoch_seen, self.outbid) + 1, self.failed + 1
             self.next_at = now + LENGTH + 2 * TURN * self.failed
         self.asked, self.asked_at, self.grants = self.asked + 1, now, []
         return self.asked, self.epoch
 
+    def refused_for(self, epoch):
+        """A member has seen that higher epoch, and grants nothing below it: the next ask goes above it. Without this, one that
+        asked in vain while another held the lease refused that holder's renewals from then on."""
+        self.outbid = max(self.outbid, epoch)
+
     def granted(self, now, node, ask, epoch, granted, members):
         """A vote came; True if it made us the holder."""
         if ask != self.asked or epoch != self.epoch or node in self.grants or node not in members:
@@ -63,7 +71,3 @@
             self.asked_at + RENEW,
         )
         return began and self.holds(now)
-
-    def outrun(self, epoch):
-        """Others follow a later epoch than ours: we go on above it."""
-        self.epoch = max(self.epoch, epoch + 1)
--- a/fernyard/cluster/common/messages.py
+++ b/fernyard/cluster/common/messages.py
@@ -19,10 +19,13 @@
 
 
 class LeaseGrant(Message):
+    """`seen`: the highest epoch that the member has voted for."""
+
     node: str
     ask: int
     epoch: int
     granted: bool
+    seen: int = 0
 
 
 class GatewayHeartbeat(Message):
--- a/fernyard/cluster/control_plane/replica.py
+++ b/fernyard/cluster/control_plane/replica.py
@@ -43,6 +43,7 @@
 VOTE = "vote"  # the area of the disk that holds our Vote
 SERVED_WITHIN = 1.0  # seconds since a majority was met, within which what is decided is handed out
 SETTLE_AFTER, SETTLE_STEP = 0.3, 0.15  # seconds until an unfinished decision is finished; more for each rank
+CARRIER_WITHIN = 0.7  # seconds since the heartbeat of the holder of the lease
 CARRY_WAIT = 0.4  # seconds until a change that another carries is proposed here as well
 ASK_AGAIN = 0.1  # seconds until an urgent heartbeat is sent again
 MOST_SEEDS = 12
@@ -186,7 +187,7 @@
 
     def _call(self, ticket, change):
         call = self.calls[ticket] = Call(self.now, change)
-        carrier = self._carrier()
+        carrier = self.carrier()
         if carrier is None:
             self._propose_call(ticket, call)
         else:
@@ -196,11 +197,12 @@
         call.proposed = True
         self.proposer.submit(self.now, ("own", ticket), call.change)
 
-    def _carrier(self):
-        """The ip of another that holds the lease, whom changes are given to so that proposals don't meet."""
+    def carrier(self):
+        """The ip of another that holds the lease, whom changes are given to so that proposals don't meet; None: none."""
         if self.lease_held:
             return None
-        return next((peer.member.ip for peer in self.contacts.fresh(self.now) if peer.heartbeat.carries), None)
+        carriers = [peer for peer in self.contacts.peers.values() if peer.heartbeat.carries]
+        return next((peer.member.ip for peer in carriers if self.now - peer.at <= CARRIER_WITHIN), None)
 
     def _read(self, event):
         self.calls[event.ticket] = Call(self.now)
--- a/fernyard/cluster/control_plane/worker_list.py
+++ b/fernyard/cluster/control_plane/worker_list.py
@@ -51,8 +51,10 @@
     def _renew_lease(self, now):
         process = self.process
         voters = self._voters()
-        if process.replica.member not in voters:
+        if process.replica.member not in voters or process.replica.leaving:
             return
+        if not process.holder.holds(now) and process.replica.carrier() is not None:
+            return  # another holds it, as its heartbeats tell
         rank, seen = voters.index(process.replica.member), self.highest_seen()
         ask = process.holder.due(now, rank, process.granter.until, seen)
         if ask is None:
@@ -77,12 +79,15 @@
     def lease_asked(self, message, address):
         process = self.process
         granted = process.granter.ask(process.now(), message.node, message.epoch)
-        grant = LeaseGrant(str(process.replica.member), message.ask, message.epoch, granted)
+        seen = process.granter.epoch
+        grant = LeaseGrant(str(process.replica.member), message.ask, message.epoch, granted, seen)
         process.datagrams.send(grant, address)
 
     def lease_granted(self, message):
         process, now = self.process, self.process.now()
         names = [str(voter) for voter in self._voters()]
+        if not message.granted and message.seen > message.epoch:
+            process.holder.refused_for(message.seen)
         if process.holder.granted(now, message.node, message.ask, message.epoch, message.granted, names):
             log.info("The lease is held here.", epoch=process.holder.epoch)
             process.tell_lease(True)
--- a/tests/cluster/control_planes.py
+++ b/tests/cluster/control_planes.py
@@ -35,6 +35,7 @@
     ask: int
     epoch: int
     granted: bool
+    seen: int
 
 
 @attrs.define
@@ -166,7 +167,7 @@
     def lease(self, machine):
         replica, holder = machine.replica, machine.holder
         voters = replica.state.voters if replica.state is not None else ()
-        if replica.member in voters:
+        if replica.member in voters and (holder.holds(self.now) or replica.carrier() is None):
             names = [str(voter) for voter in voters]
             ask = holder.due(self.now, voters.index(replica.member), machine.granter.until, machine.granter.epoch)
             if ask is not None:
@@ -248,9 +249,12 @@
             self.tell(other, e.BodyReceived(message.id, message.body))
         elif isinstance(message, LeaseRequest):
             granted = other.granter.ask(self.now, message.node, message.epoch)
-            answer = LeaseAnswer(str(other.replica.member), message.ask, message.epoch, granted)
+            seen = other.granter.epoch
+            answer = LeaseAnswer(str(other.replica.member), message.ask, message.epoch, granted, seen)
             self.send(other, machine.ip, answer)
         elif isinstance(message, LeaseAnswer):
+            if not message.granted and message.seen > message.epoch:
+                other.holder.refused_for(message.seen)
             names = [str(voter) for voter in other.replica.state.voters] if other.replica.state else []
             other.holder.granted(self.now, message.node, message.ask, message.epoch, message.granted, names)
         else:
--- a/tests/cluster/test_soft_state.py
+++ b/tests/cluster/test_soft_state.py
@@ -84,6 +84,27 @@
         held = [self.votes(0.2 * step, holders, granters, ("ba", "ca")) for step in range(40)]
         self.assertIn(["b"], held[:26])
 
+    def test_a_vain_candidate_goes_on_granting_to_the_holder(self):
+        """One that asked in vain has voted for itself under a higher epoch: the holder goes above it, and does not depend on
+        the third member from then on."""
+        holder, votes = lease.Holder("a"), {name: lease.Granter(0.0, True) for name in MEMBERS}
+
+        def renew(now, members):
+            ask = holder.due(now, 0, votes["a"].until, 0)
+            for name in members:
+                granted = votes[name].ask(now, "a", ask[1])
+                if not granted:
+                    holder.refused_for(votes[name].epoch)
+                holder.granted(now, name, *ask, granted, MEMBERS)
+
+        renew(0.0, "ab")
+        self.assertTrue(votes["c"].ask(0.1, "c", 9))
+        for step in range(1, 6):
+            renew(0.3 * step, "abc")
+        for step in range(6, 13):
+            renew(0.3 * step, "ac")  # b is gone
+        self.assertTrue(holder.holds(4.0))
+
     def test_granter_that_restarted_waits(self):
         granter = lease.Granter(5.0, False)
         self.assertFalse(granter.ask(5.1, "a", 9))
