Configurations move between replicas once at a time, with time for large ones; 409 has a code

Cause: read over the new code: a body of 700 kB on a long way took longer than the second that a call had, and was asked for again each 0.3 s meanwhile; gateways were told of seeds that may be gone. Change: one fetch a body, 6 s in all and 0.4 s to connect; gateways hear only of replicas that vote or were heard; the code W201 for a number that is taken.

--- a/fernyard/cluster/common/errors.py
+++ b/fernyard/cluster/common/errors.py
@@ -25,6 +25,12 @@
     CODE, DO = "W200", "mend the configuration and send it again"
 
 
+class NumberTakenError(ClusterError):
+    """Another configuration is held under that number; answered 409."""
+
+    CODE, DO = "W201", "read what is held with GET /-/config, and send yours under a higher number"
+
+
 class StoreError(ClusterError):
     """The disk did not keep what it was told to keep."""
 
--- a/fernyard/cluster/control_plane/api.py
+++ b/fernyard/cluster/control_plane/api.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ..common.errors import ConfigurationError
+from ..common.errors import ConfigurationError, NumberTakenError
 from ..common.logs import Part
 from ..common.messages import ConfigurationUpdate
 from . import configuration, events as e
@@ -45,8 +45,8 @@
             return 400, encode_json(why.fields()), JSON
         reply = await self.process.call(lambda ticket: e.PutConfiguration(ticket, id, body))
         if reply.status == 409:
-            log.warning("Other bytes are held under that number.", version=f"{id.version:08x}", held=str(reply.taken))
-            why = ConfigurationError(f"other bytes are held under number {id.version:08x}", str(reply.taken))
+            why = NumberTakenError("another configuration is held under that number", str(reply.taken))
+            log.warning("A configuration is refused.", sent=str(id), **why.fields())
             return 409, encode_json(why.fields()), JSON
         return reply.status, b"", None
 
--- a/fernyard/cluster/control_plane/process.py
+++ b/fernyard/cluster/control_plane/process.py
@@ -28,6 +28,8 @@
 log = Part("control-plane")
 ANSWER_WITHIN = 0.85  # a caller goes on to another gatekeeper after a second
 HEARTBEAT, CALL = 0.2, 1.0  # seconds: between heartbeats, for a call of ours
+# For the bytes of a configuration, which may be many on a long way; a machine that is dark is given up soon.
+BODY_CALL = aiohttp.ClientTimeout(total=6.0, sock_connect=0.4, sock_read=1.0)
 HAND_OVER, HAND_OVER_MARGIN = 4.0, 2.0  # seconds: longest wait for a successor, and what is left before the kill
 LAST_ANSWERS = 0.2  # seconds for answers that are on their way when the process stops
 
@@ -47,7 +49,7 @@
         self.duty, self.api = WorkerListDuty(self), Api(self)
         self.disk = ThreadPoolExecutor(1)
         self.datagrams = Datagrams(self.heard, decode)
-        self.fetching, self.stopped = None, self.loop.create_future()
+        self.fetching, self.fetching_bodies, self.stopped = None, set(), self.loop.create_future()
         self.registry_saved, self.registry_saved_at = NONE, self.now()
         if "registry" in areas:
             # Soft state, kept for a quick start alone: until the list is asked again, workers as they were last seen.
@@ -154,22 +156,28 @@
     async def push(self, order):
         body = encode(StoredBody(order.id, order.body))
         try:
-            async with self.session.post(self.url(order.ip, "body"), data=body) as answer:
+            url = self.url(order.ip, "body")
+            async with self.session.post(url, data=body, timeout=BODY_CALL) as answer:
                 await answer.read()
         except (aiohttp.ClientError, TimeoutError, OSError):
             pass  # it asks for what it lacks
 
     def do_fetch(self, order):
-        self.spawn(self.fetch(order))
+        if order.id not in self.fetching_bodies:
+            self.fetching_bodies.add(order.id)
+            self.spawn(self.fetch(order))
 
     async def fetch(self, order):
+        query = {"id": str(order.id)}
         try:
-            async with self.session.get(self.url(order.ip, "body"), params={"id": str(order.id)}) as answer:
+            async with self.session.get(self.url(order.ip, "body"), params=query, timeout=BODY_CALL) as answer:
                 if answer.status == 200:
                     stored = decode_body(await answer.read())
                     self.tell(e.BodyReceived(stored.id, stored.body))
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
             pass  # asked again, of another
+        finally:
+            self.fetching_bodies.discard(order.id)
 
     def url(self, ip, what):
         return f"http://{ip}:{self.set.ports[0]}/internal/{what}"
@@ -196,8 +204,7 @@
     def heartbeat_reply(self):
         state = self.replica.served(self.now())
         revision = state.revision if state is not None and self.plan is not None else 0
-        replicas = [*self.replica.ips(), self.set.ip]
-        return HeartbeatReply(self.set.node, replicas, revision, self.registry.mark)
+        return HeartbeatReply(self.set.node, self.replica.known_ips(), revision, self.registry.mark)
 
     # Datagrams -------------------------------------------------------------------------------------------------------
 
--- a/fernyard/cluster/control_plane/replica.py
+++ b/fernyard/cluster/control_plane/replica.py
@@ -44,7 +44,7 @@
 SERVED_WITHIN = 1.0  # seconds since a majority was met, within which what is decided is handed out
 SETTLE_AFTER, SETTLE_STEP = 0.3, 0.15  # seconds until an unfinished decision is finished; more for each rank
 CARRIER_WITHIN = 0.7  # seconds since the heartbeat of the holder of the lease
-CARRY_WAIT = 0.4  # seconds until a change that another carries is proposed here as well
+CARRY_WAIT = 0.5  # seconds until a change that another carries is proposed here as well
 ASK_AGAIN = 0.1  # seconds until an urgent heartbeat is sent again
 MOST_SEEDS = 12
 VOTE_AGAIN = 0.3  # after the disk refused the first vote
@@ -149,12 +149,17 @@
             return None
         return self.state.term
 
-    def ips(self):
-        """Where other replicas are: the voters, those heard of late, and the seeds."""
+    def known_ips(self):
+        """Where the replicas are that vote or were heard of late, ours included."""
         found = {peer.member.ip for peer in self.contacts.known(self.now)}
         if self.decided is not None:
             found.update(member.ip for member in self.decided.state.electorate)
-        if self.decided is None or not found - {self.settings.ip} or len(self.contacts.fresh(self.now)) < 2:
+        return sorted(found | {self.settings.ip})
+
+    def ips(self):
+        """Where other replicas are or may be: the seeds as well, while hardly any other is heard."""
+        found = set(self.known_ips())
+        if self.decided is None or len(self.contacts.fresh(self.now)) < 2:
             found.update(self.settings.seeds)
         return sorted(found - {self.settings.ip})
 
