An answer counts only if it provably belongs to its request; a foreign failure is none

An answer without Attempt-Id counted as ours if it was a failure; a success with Not-Run, or Not-Run on any status, allowed a second send; a body that only the connection's end ends was passed as whole; after 204 or an answer to HEAD the connection went on waiting, so that a later stray was kept for the next request; part of an answer behind chunks was dropped unheard and its rest met the next request. Change: one Attempt-Id and ours, an end that the answer tells, Not-Run on 400, 429 and 503 alone, one status line in a head (else the start of one answer and the rest of another read as one), a connection never carries an id twice. An outcome says whether a connection was had: time up before that is 503 and no longer 504. Further tries of a repeatable request also ask the configuration that holds now. Requests whose length is told twice or in two ways, or whose path would not go on unchanged, get 400. A client's connection with a request read and not yet served does not make room. Ruled out: a new connection for each request that may not be repeated; the id ties an answer to its request without one.

--- a/fernyard/clients/connections.py
+++ b/fernyard/clients/connections.py
@@ -33,8 +33,10 @@
         self.transport.pause_reading()
 
     def silent(self):
-        """Nothing was sent that is not read yet."""
-        return self.transport is None or self.transport.is_closing() or not unread(self.transport)
+        """Nothing was sent that is not read yet, and no request was read that is still to be served."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        return not self._messages and not unread(self.transport)
 
     def drop(self):
         if self.transport is not None:
--- a/fernyard/clients/read.py
+++ b/fernyard/clients/read.py
@@ -106,17 +106,26 @@
 
     def _framing(self, method, headers):
         """One length, told in one way: else another req may hide in the body."""
-        if any(len(headers.getall(name, ())) > 1 for name in ONCE):
-            raise Malformed(400, "told_twice")
-        coded, length = headers.get("Transfer-Encoding"), headers.get("Content-Length", "0")
-        if coded is not None and ("Content-Length" in headers or coded.lower() != "chunked" or method == "GET"):
+        check_framing(headers, ONCE)
+        length = int(headers.get("Content-Length", "0"))
+        if method == "GET" and (length or "Transfer-Encoding" in headers):
             raise Malformed(400, "framing")
-        if not WHOLE.fullmatch(length) or method == "GET" and int(length):
-            raise Malformed(400, "framing")
-        if int(length) > self.body:
+        if length > self.body:
             raise Malformed(413, "body")
 
 
+def check_framing(headers, once):
+    """The body has one length, told in one way, and each of the headers `once` stands there once at most: else two
+    readers of the request could take it for different ones."""
+    if any(len(headers.getall(name, ())) > 1 for name in once):
+        raise Malformed(400, "told_twice")
+    coded, length = headers.get("Transfer-Encoding"), headers.get("Content-Length", "0")
+    if coded is not None and ("Content-Length" in headers or coded.lower() != "chunked"):
+        raise Malformed(400, "framing")
+    if not WHOLE.fullmatch(length):
+        raise Malformed(400, "framing")
+
+
 def passed_on(raw_headers):
     """What goes on, spelt as it came (the library's own mapping spells some names anew)."""
     return [
--- a/fernyard/cluster/data_plane/listener.py
+++ b/fernyard/cluster/data_plane/listener.py
@@ -11,12 +11,14 @@
 from multidict import CIMultiDict
 
 from ...clients.connections import Connections, Written
-from ...clients.read import passed_on
+from ...clients.read import Malformed, check_framing, passed_on
 from ..common.logs import Part
 from .events import Asked, Gone
 from .pacing import PIECE, SMALL
 
 log = Part("front")
+ID, LEFT = "Attempt-Id", "Deadline-Ms"
+ONCE = (ID, LEFT, "Key", "Host", "Content-Length", "Transfer-Encoding")  # headers that stand there once at most
 
 
 @attrs.define
@@ -60,23 +62,26 @@
 
     async def _serve(self, request):
         headers, connection = request.headers, request.protocol
-        id, told = headers.get("Attempt-Id"), headers.get("Deadline-Ms", "30000")
-        host = headers.get("Host", "")
-        if not id or not told.isdigit() or not request.raw_path.startswith("/"):
+        id, told = headers.get(ID), headers.get(LEFT, "30000")
+        host, path = headers.get("Host", ""), request.raw_path
+        if not id or not (told.isascii() and told.isdigit()):
             return self._refused(400)
+        if not path.startswith("/") or not path.isascii() or "#" in path:
+            return self._refused(400)  # no path that goes on unchanged
         try:
+            check_framing(headers, ONCE)
             if headers.get("Expect", "").lower() == "100-continue":
                 await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
                 request.writer.output_size = 0
             body = await request.read() if request.body_exists else b""
-        except (HTTPRequestEntityTooLarge, RequestPayloadError) as why:
+        except (Malformed, HTTPRequestEntityTooLarge, RequestPayloadError) as why:
             return self._refused(getattr(why, "status", 400))
         self.number = number = self.number + 1
         waiting = self.waiting[number] = asyncio.get_running_loop().create_future()
-        self.taken[number] = Taken(id, request.method, host, request.raw_path, passed_on(request.raw_headers), body)
+        self.taken[number] = Taken(id, request.method, host, path, passed_on(request.raw_headers), body)
         self.connections.begun(connection)
-        self.report(Asked(number, request.method, host, request.raw_path, headers.get("Key"), int(told) / 1000))
         try:
+            self.report(Asked(number, request.method, host, path, headers.get("Key"), int(told) / 1000))
             status, body, told = await waiting
         except asyncio.CancelledError:
             self.report(Gone(number))
--- a/fernyard/cluster/data_plane/router.py
+++ b/fernyard/cluster/data_plane/router.py
@@ -20,10 +20,17 @@
 COME_BACK, FULL_BACK = 0.15, 0.3  # seconds told to clients that may come again
 CONNECTS = 4  # connections that never came up, for one request
 WAIT_PART = 0.5  # of the target that a request may wait at a worker
+REPEATABLE = frozenset(("idempotent", "egress"))  # kinds of routes whose requests may run more than once
+PROMISES = frozenset((408, 421, 429, 503))  # statuses that say: it has not run and never will
 
 
 class Request:
-    """One request, from its arrival to the end of its last dispatch."""
+    """One request, from its arrival to the end of its last dispatch. `ran`: some worker may have run it."""
+
+
+def surely_never_ran(outcome):
+    """Neither did the worker of this dispatch run it, nor will it."""
+    return outcome.end in NEVER_RAN or not outcome.sent
 
 
 class RequestRouter:
@@ -52,7 +59,8 @@
 
     def _path(self, req):
         """The ordinary path of a request, top to bottom; it yields while it waits."""
-        route = req.route = self.routes.find(req.told.host, req.told.path)
+        req.routes = self.routes
+        route = req.route = req.routes.find(req.told.host, req.told.path)
         if route is None:
             return self._answer(req, 404)
         req.left_at = min(req.left_at, self.now + route.timeout)
@@ -90,27 +98,42 @@
                 continue
             if ended.end is End.PASSED:
                 return self._relay(req, ended)
-            if ended.end is End.NO_CONNECTION:
-                req.tried.remove(ended.worker)
-                req.missed.append(ended.worker)
-                if len(req.missed) >= CONNECTS and not req.out:
-                    return self._give_up(req)
-            elif ended.end not in NEVER_RAN:
-                req.ran = True
-                req.failure = ended if ended.status >= 400 else req.failure
-                if route.kind == "mutating":
-                    return self._give_up(req)
+            self._failed(req, ended)
+            if len(req.missed) >= CONNECTS and not req.out:
+                return self._give_up(req)
             while req.out and not self._may_send(req, budget):
-                if (ended := (yield OUTCOME)) is not None and ended.end is End.PASSED:
+                ended = yield OUTCOME
+                if ended is None:
+                    continue
+                if ended.end is End.PASSED:
                     return self._relay(req, ended)
-                if ended is not None and ended.end not in NEVER_RAN:
-                    req.ran = True
+                self._failed(req, ended)
+
+    def _failed(self, req, outcome):
+        """A dispatch ended without success."""
+        if not outcome.sent or outcome.end is End.NO_CONNECTION:
+            req.tried.remove(outcome.worker)
+            req.missed.append(outcome.worker)
+        elif not surely_never_ran(outcome):
+            req.ran = True
+            req.failure = outcome if outcome.end is End.ERROR and outcome.status >= 300 else req.failure
 
     def _may_send(self, req, budget):
         """One worker more: the first is free of the budget."""
+        if (req.out or req.ran) and not self._repeatable(req):
+            return False
         again = bool(req.tried)
         return len(req.tried) < req.route.tries and (not again or budget.may(self.now, len(self.registry.gateways)))
 
+    def _repeatable(self, req):
+        """May it run more than once, by the route that it was taken for and by the one that holds for it now?"""
+        if req.route.kind not in REPEATABLE:
+            return False
+        if req.routes is self.routes:
+            return True
+        route = self.routes.find(req.told.host, req.told.path)
+        return route is not None and route.kind in REPEATABLE
+
     def _admit(self, tenant, req):
         """One add of the request's unit; the total returned decides. Without an answer, our part of the limit does."""
         counter = self._counter(tenant.name)
@@ -169,7 +192,7 @@
                 max(0.001, left - MARGIN),
             )
         )
-        if req.route.kind != "mutating":
+        if req.route.kind in REPEATABLE:
             usual = self.workers.usual_of(self.now, req.route)
             self._at(self.now + max(LEAST_PATIENCE, PATIENCE * usual), self._overlong, req, dispatch)
 
@@ -198,7 +221,7 @@
             if req.counted:
                 self.quota.back(self.now, req.tenant)
             return self._answer(req, 503, FULL_BACK if req.tried else COME_BACK)
-        if req.failure is not None and req.failure.status not in (408, 421, 429, 503):
+        if req.failure is not None and req.failure.status not in PROMISES:
             return self._relay(req, req.failure)
         return self._answer(req, 504 if self.now >= req.left_at - 2 * MARGIN else 502)
 
@@ -208,7 +231,7 @@
         req = Request()
         req.number, req.told, req.left_at, req.closed = told.number, told, self.now + told.left, False
         req.tried, req.missed, req.out, req.sent, req.ran, req.failure = [], [], {}, 0, False, None
-        req.waits, req.route, req.tenant, req.counted = None, None, None, False
+        req.waits, req.routes, req.route, req.tenant, req.counted = None, None, None, None, False
         if self.routes is None:
             self.orders.append(t.Answer(told.number, 503, COME_BACK))
             return
--- a/fernyard/cluster/data_plane/upstreams.py
+++ b/fernyard/cluster/data_plane/upstreams.py
@@ -9,6 +9,10 @@
 from ...workers import WorkerPool
 from .pacing import PIECE, SMALL
 
+ID = "Attempt-Id"
+WRONG_WORKER = 421  # it is not the one that `Want-Worker` names
+NOT_RUN = frozenset((400, 429, 503))  # statuses that say with `Not-Run` that the request has not run
+NO_BODY = frozenset((204, 304))
 WORKERS_OWN = ("Deadline-Ms", "Key", "Tenant", "Want-Worker", "Keep-Alive", "Connection")
 LATER = 0.015  # seconds that we wait beyond what a worker is told
 
@@ -17,6 +21,8 @@
     """`req` of `send` is a `front.Taken`; a worker is told to run as the life that is meant, and no other. `pace`: of large
     answers on their way in."""
 
+    ID_HEADER = ID
+
     def __init__(self, limits, report, pace):
         super().__init__(limits, report)
         self.pacer = pace
@@ -45,15 +51,30 @@
         return headers
 
     def _end(self, req, answer):
-        told = answer.headers
-        if told.get("Attempt-Id", req.id) != req.id:
-            answer.close()  # a second answer to an earlier request: what follows on it is nobody's either
+        """How a dispatch with a whole answer ended; what is not provably its own answer is none."""
+        if not _is_of(req, answer) or not _tells_its_end(answer):
+            answer.close()  # a second answer to an earlier request, say: what follows on it is nobody's either
+            return End.RESET
+        told, status = answer.headers, answer.status
+        if 200 <= status < 300:
+            if "Worker-Seal" in told and "Not-Run" not in told and "Content-Encoding" not in told:
+                return End.PASSED
+            answer.close()
             return End.RESET
-        if answer.status == 421 or "Not-Run" in told:
+        if status == WRONG_WORKER or status in NOT_RUN and "Not-Run" in told:
             return End.FULL
-        if 200 <= answer.status < 300:
-            whole = "Worker-Seal" in told and "Attempt-Id" in told and "Content-Encoding" not in told
-            if not whole:
-                answer.close()
-            return End.PASSED if whole else End.RESET
         return End.ERROR
+
+
+def _is_of(req, answer):
+    """It bears the id of this request, and no other."""
+    return answer.headers.getall(ID, ()) == [req.id]
+
+
+def _tells_its_end(answer):
+    """Else one that was cut off looks whole."""
+    return (
+        answer.content_length is not None
+        or answer.status in NO_BODY
+        or answer.headers.get("Transfer-Encoding", "").lower() == "chunked"
+    )
--- a/fernyard/workers/connections.py
+++ b/fernyard/workers/connections.py
@@ -3,6 +3,8 @@
 
 import re
 import socket
+from collections import deque
+from contextvars import ContextVar
 
 import aiohttp
 from aiohttp.abc import AbstractResolver
@@ -14,6 +16,27 @@
 LENGTH = re.compile(rb"\r\nContent-Length:[ \t]*([0-9]{1,15})[ \t]*(?=\r\n)", re.IGNORECASE)
 CODED = re.compile(rb"\r\nTransfer-Encoding:", re.IGNORECASE)
 EARLY = re.compile(rb"HTTP/1\.1 1(?!01)[0-9][0-9] ")  # more is to come, with no time told
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}")
+NO_BODY = re.compile(rb"HTTP/1\.[01] (?:204|304)")
+LAST_CHUNK = b"\r\n\r\n"  # how every chunked body ends
+IDS_KEPT = 64  # ids of requests that one connection remembers to have carried
+
+
+def ends_chunks(data):
+    """A chunked body ends there, and nothing that came with it stands behind."""
+    return data.endswith(LAST_CHUNK)
+
+
+class Attempt:
+    """What is known of one request on its way to a worker. `sent`: a connection was had, so bytes may be out."""
+
+    __slots__ = ("sent",)
+
+    def __init__(self):
+        self.sent = False
+
+
+attempt = ContextVar("attempt", default=None)  # of the task that asks for a connection
 
 
 class Socket(socket.socket):
@@ -37,10 +60,11 @@
     def __init__(self, loop, limits, idle):
         super().__init__(loop)
         self.limits, self.idle = limits, idle
+        self.ids = deque(maxlen=IDS_KEPT)
 
     def set_response_params(self, **told):
         super().set_response_params(**told)
-        self.due, self.left, self.head = True, None, b""
+        self.due, self.left, self.head, self.end = True, None, b"", b""
 
     def data_received(self, data):
         if not data:  # the library reads on in what it holds
@@ -72,14 +96,22 @@
                 super().data_received(b"\0")  # no head: the library fails the dispatch and closes
             return b""
         head, data, self.head = self.head[:end], self.head[end:], b""
+        if len(STATUS_LINE.findall(head)) != 1:
+            head = b"\0"  # the beginning of one answer and the rest of another: whose it is cannot be told
         super().data_received(head)
-        lengths = LENGTH.findall(head)
         if not EARLY.match(head):
-            told = len(lengths) == 1 and not CODED.search(head)
-            self.left = int(lengths[0]) if told else float("inf")
+            self.left = self._body_length(head)
             self.due = self.left > 0 and self._exception is None
         return data
 
+    def _body_length(self, head):
+        """Bytes of the body to come, as far as the head tells."""
+        if self._skip_payload or NO_BODY.match(head):
+            return 0
+        lengths = LENGTH.findall(head)
+        told = len(lengths) == 1 and not CODED.search(head)
+        return int(lengths[0]) if told else float("inf")
+
     def _read_body(self, data):
         piece = data if self.left >= len(data) else data[: self.left]
         super().data_received(piece)
@@ -87,6 +119,9 @@
         if self.left == float("inf") and self._payload is not None and self._payload.is_eof():
             # The last chunk came. Without this its connection stayed due, failed while idle, and the next request on it with it.
             self.left = 0
+            if not ends_chunks(self.end + piece):
+                self.force_close()  # the library read part of something behind it
+        self.end = piece[-len(LAST_CHUNK) :]
         self.due = self.left > 0 and self._exception is None
         return data[len(piece) :]
 
@@ -184,9 +219,10 @@
     """Counts the descriptors it has open; gives out the connection used last, and none on which something
     waits unread or that has stood idle for too long."""
 
-    def __init__(self, limits):
+    def __init__(self, limits, id_header=None):
+        """`id_header`: names a request; a connection that carried one of that name does not carry another."""
         self.names, self.idle, self.open = Names(limits.workers_known), Idle(limits.worker_rest), 0
-        self.buffer = limits.buffer
+        self.buffer, self.id_header = limits.buffer, id_header
         super().__init__(
             limit=0,
             socket_factory=self._socket,
@@ -218,8 +254,14 @@
         return await super()._get(key, traces)
 
     async def connect(self, req, *told, **named):
+        id = req.headers.get(self.id_header) if self.id_header else None
         while True:
             connection = await super().connect(req, *told, **named)
-            if connection.protocol.usable():
-                return connection
+            protocol = connection.protocol
+            if protocol.usable() and (id is None or id not in protocol.ids):
+                break
             connection.close()
+        protocol.ids.append(id)
+        if (asking := attempt.get()) is not None:
+            asking.sent = True
+        return connection
--- a/fernyard/workers/pool.py
+++ b/fernyard/workers/pool.py
@@ -9,7 +9,7 @@
 from yarl import URL
 
 from ..interface import End
-from .connections import Connector
+from .connections import Attempt, Connector, attempt
 
 log = structlog.get_logger(__name__)
 
@@ -26,6 +26,7 @@
     body: bytes = b""
     headers: tuple[tuple[bytes, bytes], ...] = ()  # as they came
     status: int = 0  # of the worker's answer, 0 where there was none whole
+    sent: bool = True  # False: no connection was had, so no byte was written
 
 
 class Broken(aiohttp.ClientError):
@@ -47,12 +48,14 @@
 
 
 class WorkerPool:
+    ID_HEADER = None  # names a request on its connection, where the protocol has such a header
+
     def __init__(self, limits, report):
         self.limits, self.report, self.out = limits, report, {}
         self.connector = self.session = None
 
     def start(self):
-        self.connector = Connector(self.limits)
+        self.connector = Connector(self.limits, self.ID_HEADER)
         self.session = aiohttp.ClientSession(
             connector=self.connector,
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -67,10 +70,10 @@
     def send(self, number, dispatch, worker, address, req, limit):
         """Writes `req` to the worker at `address` and reports one Outcome, after `limit` at the latest."""
         loop = asyncio.get_running_loop()
-        began = loop.time()
-        task = loop.create_task(self._dispatch(number, dispatch, worker, address, req, limit))
+        began, made = loop.time(), Attempt()
+        task = loop.create_task(self._dispatch(number, dispatch, worker, address, req, limit, made))
         timer = loop.call_later(limit / 10_000, self._late, number, dispatch)
-        self.out[number, dispatch] = (task, timer, worker, began)
+        self.out[number, dispatch] = (task, timer, worker, began, made)
 
     def give_up(self, number, dispatch, end=End.CANCELLED):
         """Stops waiting: the connection is closed."""
@@ -86,13 +89,14 @@
         out = self.out.pop((number, dispatch), None)
         if out is None:
             return None
-        task, timer, worker, began = out
+        task, timer, worker, began, made = out
         timer.cancel()
         took = int((asyncio.get_running_loop().time() - began) * 10_000)
-        self.report(Outcome(number, dispatch, worker, end, took, body, headers, status))
+        self.report(Outcome(number, dispatch, worker, end, took, body, headers, status, made.sent))
         return task
 
-    async def _dispatch(self, number, dispatch, worker, address, req, limit):
+    async def _dispatch(self, number, dispatch, worker, address, req, limit, made):
+        attempt.set(made)
         headers = self._headers(req, worker, address, limit)
         authority = self.connector.names.authority(worker, address)
         if self.connector.open >= self.limits.workers:
@@ -107,6 +111,8 @@
             ) as answer:
                 body = await self._body(answer)
                 end = End.ERROR if body is None else self._end(req, answer)
+                if end is End.RESET:  # not this request's answer: nothing of it goes on
+                    return self._over(number, dispatch, end)
                 self._over(number, dispatch, end, body or b"", answer.raw_headers, 0 if body is None else answer.status)
         except NeverUp:
             self._over(number, dispatch, End.NO_CONNECTION)
