Adds and totals bear both lives: late, doubled, reordered and foreign ones change nothing

Cause: asks are numbered from 1 in each life and a Total bore only the ask, so an answer to a former life of a gateway, or of another counter, was taken by a later ask of that number; a doubled add counted twice; a late add of a former life was taken for a restart and what its gateway had let past stood there twice. Units let past without asking rode on one datagram: lost with it, and counted twice by a fresh counter, which is told them in `recent` too. Not held: an answer of a counter's former life that this gateway never heard of, to an ask later than all it has answers to. Changed tests: test_quota.py and test_router.py build Ledger, Total and Quota.answered with their new fields; nothing else.

--- a/fernyard/cluster/common/messages.py
+++ b/fernyard/cluster/common/messages.py
@@ -85,12 +85,15 @@
 
 
 class Count(Message):
-    """One add to a tenant's bucket. `units` are kept if the limit allows, `owed` always. `length` of a bucket in seconds;
-    `recent`: units this gateway let past in the last bucket's length, for a counter that knows nothing of it."""
+    """One add to a tenant's bucket. `units` are kept if the limit allows. `owed`: all units that this life of the gateway
+    let past without asking, less those it gave back: a sum, so that none is lost or counted twice with a datagram.
+    `length` of a bucket in seconds; `recent`: units this gateway let past in the last bucket's length, for a counter that
+    knows nothing of it. `counter`: the mark of the gateway that is asked (`quota.counter_mark`)."""
 
     ask: int
     node: str
     life: int
+    counter: int
     tenant: str
     length: float
     limit: float
@@ -101,14 +104,17 @@
 
 
 class Total(Message):
-    """The totals after an add: previous and current bucket, and how much of the window lies in the previous one."""
+    """The totals after an add: previous and current bucket, and how much of the window lies in the previous one.
+    `life`: of the gateway that asked; `counter` and `counter_life`: who answers."""
 
     ask: int
+    life: int
+    counter: int
+    counter_life: int
     previous: float
     current: float
     overlap: float
     registry: tuple[int, int]
-    mine: bool = True
 
 
 Datagram = ReplicaHeartbeat | LeaseAsk | LeaseGrant | GatewayHeartbeat | HeartbeatReply | PeerNotice | Count | Total
--- a/fernyard/cluster/data_plane/process.py
+++ b/fernyard/cluster/data_plane/process.py
@@ -93,7 +93,7 @@
         self.now, self.counts, self.limits = self.loop.time, Counts(), limits(settings)
         self.life = int.from_bytes(os.urandom(6), "big")
         self.router = RequestRouter(self.now(), settings, self.life)
-        self.ledger = Ledger()
+        self.ledger = Ledger(settings.node, self.life)
         self.subscriber = Subscriber(settings.node, settings.zone)
         self.cores = [Core(f"seed-{ip}", ip) for ip, _ in settings.seeds]
         link = settings.link_mbps * 125_000 if self.limits.buffer else 0.0
@@ -190,7 +190,10 @@
     def heard(self, message, address):
         kind = type(message)
         if kind is Count:
-            self.datagrams.send(self.ledger.add(self.now(), message, self.router.registry.mark), address)
+            total = self.ledger.add(self.now(), message, self.router.registry.mark)
+            if total is None:
+                return
+            self.datagrams.send(total, address)
             self.told(address[0], NONE, 0, message.registry)
         elif kind is Total:
             self.post(t.Counted(message))
--- a/fernyard/cluster/data_plane/quota.py
+++ b/fernyard/cluster/data_plane/quota.py
@@ -5,11 +5,13 @@
 """
 
 from types import SimpleNamespace
+from zlib import crc32
 
 import attrs
 
 from ...estimate import Mean, Tally
 from ..common.messages import Count, Total
+from ..common.replay import Lives, ReplayWindow
 
 # A bucket in parts of burst/rate, its least length; units above the limit for the coarseness of small counts.
 BUCKET, LEAST_BUCKET, GRAIN = 1.05, 0.5, 2.0
@@ -26,6 +28,11 @@
     return length, max(burst, rate * length / BUCKET) + min(GRAIN, GRAIN * length)
 
 
+def counter_mark(node):
+    """A short mark of a counter gatekeeper's name, for datagrams."""
+    return crc32(node.encode())
+
+
 def _tally(length, limit):
     return Tally(SimpleNamespace(doors=1), False, length, limit)
 
@@ -34,25 +41,19 @@
     """The counter gatekeeper's side: two buckets a tenant. After a start it is empty; each gateway tells with its
     first add what it let past of late, and that stands as the previous bucket."""
 
-    def __init__(self):
-        self.tallies = {}
+    def __init__(self, node, life):
+        self.mark, self.life = counter_mark(node), life
+        self.tallies, self.senders = {}, {}
 
     def add(self, now, told, registry):
-        """Answers one `Count`."""
-        held = self.tallies.get(told.tenant)
-        if held is None or abs(held.tally.length - told.length) > 1e-6:
-            before = held.tally.estimate(now - held.began) if held is not None else 0.0
-            known = held.known if held is not None else {}
-            held = self.tallies[told.tenant] = _Held(_tally(told.length, told.limit), now, known)
-            held.tally.roll(0.0)
-            held.tally.was = before
+        """Answers one `Count`; None where it is not for us, came before, or is of a gateway's former life."""
+        if told.counter != self.mark or not self._first_time(now, told):
+            return None
+        held = self._held(now, told)
         tally, at = held.tally, now - held.began
         tally.roll(at)
         tally.limit, held.used = told.limit, now
-        if held.known.get(told.node) != told.life:
-            held.known[told.node] = told.life
-            tally.was += told.recent
-        tally.put(tally.bucket, told.owed)
+        self._settle(held, told)
         total = tally.total + told.units
         # What would pass the limit is not kept: the asker refuses on the same estimate, and its units are given back
         # here rather than by a second message that would stand in others' way for as long as it travels.
@@ -60,10 +61,63 @@
             tally.put(tally.bucket, told.units)
         if len(self.tallies) > 1 and at > KEEP:
             self._tidy(now)
-        return Total(told.ask, tally.was, total, tally.overlap(at), registry)
+        return Total(told.ask, told.life, self.mark, self.life, tally.was, total, tally.overlap(at), registry)
+
+    def _first_time(self, now, told):
+        sender = self.senders.get(told.node)
+        if sender is None:
+            sender = self.senders[told.node] = _Sender()
+        former = sender.lives.current
+        if not sender.lives.hear(now, told.life):
+            return False
+        if told.life != former:
+            sender.window = ReplayWindow()
+        sender.used = now
+        return sender.window.take(told.ask)
+
+    def _held(self, now, told):
+        """The tally of a tenant, made anew where the length of its buckets changed."""
+        held = self.tallies.get(told.tenant)
+        if held is None or abs(held.tally.length - told.length) > 1e-6:
+            before = held.tally.estimate(now - held.began) if held is not None else 0.0
+            known = held.known if held is not None else {}
+            held = self.tallies[told.tenant] = _Held(_tally(told.length, told.limit), now, known)
+            held.tally.roll(0.0)
+            held.tally.was = before
+        return held
+
+    def _settle(self, held, told):
+        """Takes in what a gateway let past without an add of its own."""
+        known = held.known.get(told.node)
+        if known is None or known.life != told.life:
+            held.tally.was += told.recent  # what it owes is a part of that
+        elif told.ask < known.ask:
+            return  # overtaken: a later one has told more
+        else:
+            held.tally.put(held.tally.bucket, told.owed - known.owed)
+        held.known[told.node] = _Known(told.life, told.ask, told.owed)
 
     def _tidy(self, now):
         self.tallies = {name: held for name, held in self.tallies.items() if now - held.used < KEEP}
+        self.senders = {node: sender for node, sender in self.senders.items() if now - sender.used < KEEP}
+
+
+@attrs.define
+class _Sender:
+    """A gateway that asks: its lives, and which asks of this life came."""
+
+    lives: Lives = attrs.Factory(Lives)
+    window: ReplayWindow = attrs.Factory(ReplayWindow)
+    used: float = 0.0
+
+
+@attrs.define
+class _Known:
+    """What a gateway told last of one tenant."""
+
+    life: int
+    ask: int
+    owed: float
 
 
 @attrs.define
@@ -76,7 +130,9 @@
 
 @attrs.define
 class Pending:
-    tenant: str
+    """An ask without an answer yet. `counter`: who is asked; `done`: who waits for it."""
+
+    counter: str
     at: float
     done: object
 
@@ -87,7 +143,7 @@
     def __init__(self, node, life):
         self.node, self.life, self.number, self.out = node, life, 0, {}
         self.own, self.share, self.owed = {}, {}, {}
-        self.times, self.failed = {}, {}
+        self.times, self.failed, self.lives, self.newest = {}, {}, {}, {}
 
     def _own(self, now, tenant):
         length, limit = shape(tenant.rate, tenant.burst)
@@ -102,16 +158,17 @@
         """(Count to send, seconds to wait for its answer; 0: the counter was silent, decide now)."""
         tally = self._own(now, tenant)
         self.number += 1
-        self.out[self.number] = Pending(tenant.name, now, done)
+        self.out[self.number] = Pending(counter, now, done)
         count = Count(
             self.number,
             self.node,
             self.life,
+            counter_mark(counter),
             tenant.name,
             tally.length,
             tally.limit,
             1.0,
-            self.owed.pop(tenant.name, 0.0),
+            self.owed.get(tenant.name, 0.0),
             tally.estimate(now),
             registry,
         )
@@ -120,18 +177,33 @@
         wait = MOST_WAIT if usual is None else min(MOST_WAIT, max(LEAST_WAIT, TIMES * usual.read(now)))
         return count, 0.0 if blind else wait
 
-    def answered(self, now, total, counter_of):
-        """The pending ask that a total belongs to, or None."""
-        pending = self.out.pop(total.ask, None)
-        if pending is None:
+    def answered(self, now, total):
+        """The pending ask that a total belongs to, or None: it is of another life, of another counter, or came before."""
+        pending = self.out.get(total.ask)
+        if pending is None or not self._answers(pending, total):
             return None
-        counter = counter_of(pending.tenant)
+        counter = pending.counter
+        if not self._holds(now, counter, total):
+            return None  # the counter has restarted since and knows nothing of it
+        del self.out[total.ask]
         self.failed.pop(counter, None)
         if counter not in self.times:
             self.times[counter] = Mean(10.0, now, now - pending.at, 0.1)
         self.times[counter].add(now, now - pending.at)
         return pending
 
+    def _answers(self, pending, total):
+        """Asks are numbered anew in each life."""
+        return total.life == self.life and total.counter == counter_mark(pending.counter)
+
+    def _holds(self, now, counter, total):
+        """Is it of the counter's life that holds now? A later ask that was answered already tells which one that is."""
+        lives, newest = self.lives.setdefault(counter, Lives()), self.newest.get(counter, 0)
+        if total.counter_life != lives.current and total.ask < newest:
+            return False
+        self.newest[counter] = max(newest, total.ask)
+        return lives.hear(now, total.counter_life)
+
     def late(self, ask, counter):
         """No answer in time."""
         pending = self.out.pop(ask, None)
@@ -155,7 +227,7 @@
         return tally.estimate(now) + 1.0 <= max(1.0, BLIND_PART * part * tally.limit)
 
     def took(self, now, tenant, counted):
-        """A request was let past; where no counter has it yet, its unit rides on the next add."""
+        """A request was let past; where no counter has it yet, the next add tells."""
         tally = self._own(now, tenant)
         tally.put(tally.bucket, 1.0)
         if not counted:
--- a/fernyard/cluster/data_plane/router.py
+++ b/fernyard/cluster/data_plane/router.py
@@ -270,7 +270,7 @@
             self._close(req)
 
     def _counted(self, told):
-        pending = self.quota.answered(self.now, told.total, self._counter)
+        pending = self.quota.answered(self.now, told.total)
         if pending is not None:
             self._resume(pending.done, told.total, COUNT)
 
--- a/fernyard/cluster/slopes.py
+++ b/fernyard/cluster/slopes.py
@@ -195,7 +195,7 @@
         state.number, state.now = state.number + 1, state.now + 0.05
         orders = router.step(state.now, t.Asked(state.number, "GET", "h0.example", "/p7/x", "key00000001a", 2.0))
         count = orders[0].count
-        (send,) = router.step(state.now, t.Counted(Total(count.ask, 0.0, 1.0, 0.5, NONE)))
+        (send,) = router.step(state.now, t.Counted(Total(count.ask, 1, count.counter, 1, 0.0, 1.0, 0.5, NONE)))
         router.step(state.now, Outcome(state.number, 0, send.worker, End.PASSED, 100, b"", (), 200))
         router.step(state.now, t.Tick())
 
@@ -203,7 +203,7 @@
 
 
 def of_counts(tenants):
-    ledger, quota, chance = Ledger(), Quota("edge-0", 1), Random(1)
+    ledger, quota, chance = Ledger("c", 1), Quota("edge-0", 1), Random(1)
     quotas = [Tenant(f"t{number}", None, 100.0, 100.0, []) for number in range(tenants)]
 
     def add():
@@ -255,8 +255,8 @@
     sizes = {
         "GatewayHeartbeat": heartbeat,
         "HeartbeatReply": HeartbeatReply("core-bsas-sanelmo-1", cores, (12, 1 << 47), 0, (3, 9)),
-        "Count": Count(99999, "edge-bsas-sanelmo-1", 1 << 47, "huka270", 1.05, 126.0, 1.0, 0.0, 50.5, (3, 9)),
-        "Total": Total(99999, 50.0, 60.0, 0.25, (3, 9)),
+        "Count": Count(99999, "edge-bsas-sanelmo-1", 1 << 47, 1 << 31, "huka270", 1.05, 126.0, 1.0, 0.0, 50.5, (3, 9)),
+        "Total": Total(99999, 1 << 47, 1 << 31, 1 << 47, 50.0, 60.0, 0.25, (3, 9)),
         "PeerNotice": PeerNotice("edge-1", "10.1.0.13", (12, 1 << 47), 0, (3, 9)),
     }
     print(json.dumps({"datagram_bytes": {name: len(encode(message)) for name, message in sizes.items()}}))
--- /dev/null
+++ b/tests/cluster/test_datagrams.py
@@ -0,0 +1,215 @@
+"""Adds and totals between a proxy and a counter gatekeeper: late, doubled, reordered and foreign ones change nothing, and
+no unit is lost or counted twice. Tables, then random runs on a modelled network."""
+
+from random import Random
+from unittest import mock
+
+import msgspec
+import testtools
+from testtools.matchers import Equals
+
+from fernyard.cluster.common.messages import NONE, Tenant
+from fernyard.cluster.common.replay import Lives, ReplayWindow
+from fernyard.cluster.data_plane import quota as quota_module
+from fernyard.cluster.data_plane.quota import Ledger, Quota, counter_mark
+
+TENANT = Tenant("t", None, 1000.0, 1000.0, [])
+RUNS, STEPS = 150, 60
+
+
+class TestReplayWindow(testtools.TestCase):
+    def test_each_number_once(self):
+        size = ReplayWindow.SIZE
+        for numbers, taken in (
+            ([1, 2, 3], [True] * 3),
+            ([1, 1, 2, 1], [True, False, True, False]),
+            ([5, 3, 4, 3, 5], [True, True, True, False, False]),
+            ([size + 1, 2, 1, 2], [True, True, False, False]),
+            ([1, 10 * size, 1, 9 * size + 1, 9 * size], [True, True, False, True, False]),
+        ):
+            window = ReplayWindow()
+            self.assertThat([window.take(number) for number in numbers], Equals(taken), numbers)
+
+
+class TestLives(testtools.TestCase):
+    def test_a_former_life_is_told_apart_and_a_wrong_guess_heals(self):
+        late = Lives.LATEST + 0.1
+        for heard, holds in (
+            ([(0, "a"), (1, "a")], [True, True]),
+            ([(0, "a"), (1, "b"), (1.1, "a"), (2, "b")], [True, True, False, True]),
+            ([(0, "b"), (0.1, "a"), (0.2, "b"), (late + 0.1, "b")], [True, True, False, True]),
+        ):
+            lives = Lives()
+            self.assertThat([lives.hear(*told) for told in heard], Equals(holds), heard)
+
+    def test_bounded(self):
+        lives = Lives()
+        for number in range(100):
+            lives.hear(number, number)
+        self.assertThat(len(lives.lives), Equals(Lives.KEPT))
+
+
+class TestTotals(testtools.TestCase):
+    """(what is changed of an answer, whether the ask that waits takes it)"""
+
+    CASES = (
+        ({}, True),
+        ({"ask": 2}, False),
+        ({"life": 8}, False),
+        ({"counter": counter_mark("other")}, False),
+        ({"counter_life": 4}, False),  # from before the counter's restart
+        ({"counter_life": 6}, True),  # it has just restarted
+    )
+
+    def test_an_answer_is_taken_by_its_ask_alone(self):
+        for changed, taken in self.CASES:
+            quota, ledger = Quota("n", 7), Ledger("c", 5)
+            for life in 4, 5:
+                quota.lives.setdefault("c", Lives()).hear(0.0, life)
+            count, _ = quota.ask(0.1, TENANT, "c", NONE, "waits")
+            total = msgspec.structs.replace(ledger.add(0.1, count, NONE), **changed)
+            pending = quota.answered(0.2, total)
+            self.assertThat(pending is not None and pending.done == "waits", Equals(taken), changed)
+            self.assertThat(quota.answered(0.2, total), Equals(None), changed)  # doubled
+            late = quota.late(count.ask, "c")
+            self.assertThat(late is None, Equals(taken), changed)
+
+
+class TestAdds(testtools.TestCase):
+    def test_an_add_counts_once_and_at_its_counter_alone(self):
+        """(what is changed of an add that was counted, whether it counts again)"""
+        for changed, counted in (
+            ({}, False),
+            ({"ask": 2}, True),
+            ({"ask": 2, "counter": 1}, False),
+            ({"ask": 2, "life": 3}, False),  # a former life of the gateway
+        ):
+            ledger, before, quota = Ledger("c", 5), Quota("n", 3), Quota("n", 7)
+            ledger.add(0.0, before.ask(0.0, TENANT, "c", NONE, None)[0], NONE)
+            count, _ = quota.ask(0.1, TENANT, "c", NONE, None)
+            first = ledger.add(0.1, count, NONE)
+            again = ledger.add(0.1, msgspec.structs.replace(count, **changed), NONE)
+            self.assertThat(again is not None, Equals(counted), changed)
+            held = ledger.tallies["t"].tally.total
+            self.assertThat(held, Equals(first.current + counted), changed)
+
+    def test_what_is_owed_is_neither_lost_nor_taken_twice(self):
+        """Orders in which three adds arrive, some not at all: what was let past without asking is counted once."""
+        for order in ([1, 2, 3], [1, 3], [1, 3, 2], [3], [2, 1, 3], [1, 3, 3]):
+            ledger, quota, counts = Ledger("c", 5), Quota("n", 7), {}
+            for number in 1, 2, 3:
+                counts[number], _ = quota.ask(0.0, TENANT, "c", NONE, None)
+                for _ in range(4):
+                    quota.took(0.0, TENANT, False)
+                quota.back(0.0, TENANT)
+            for number in order:
+                ledger.add(0.0, counts[number], NONE)
+            tally = ledger.tallies["t"].tally
+            # Of the first that came `recent` says what went before; two times three were let past before the third.
+            self.assertThat(tally.was + tally.total - len(set(order)), Equals(6.0), order)
+
+
+class Network:
+    """Proxies and one counter that restart, and datagrams that are lost, doubled, late, reordered and foreign."""
+
+    def __init__(self, seed):
+        self.random, self.now, self.life, self.held = Random(seed), 0.0, 0, []
+        self.proxies, self.ledger, self.waits, self.answers = {}, None, {}, {}
+        self.added, self.known = {}, {}  # what was counted; lives of the counter that each proxy heard
+        for name in "n1", "n2":
+            self.start(name)
+        self.restart()
+
+    def start(self, name):
+        """A new life of a proxy; asks of the former are nobody's any more."""
+        self.life += 1
+        self.proxies[name] = Quota(name, self.life)
+        self.waits = {key: ask for key, ask in self.waits.items() if key[0] != name}
+        self.known[name] = set()
+
+    def restart(self):
+        self.life += 1
+        self.ledger, self.added = Ledger("c", self.life), {}
+
+    def ask(self):
+        name = self.random.choice(list(self.proxies))
+        proxy = self.proxies[name]
+        count, _ = proxy.ask(self.now, TENANT, "c", NONE, None)
+        self.waits[name, proxy.life, count.ask] = count
+        proxy.out[count.ask].done = (name, proxy.life, count.ask)
+        self.held += [("count", count)] * self.random.choice((0, 1, 1, 2))
+
+    def deliver(self):
+        kind, message = self.held.pop(self.random.randrange(len(self.held)))
+        if kind == "count":
+            self.count(message)
+        else:
+            self.total(message)
+
+    def count(self, count):
+        key = count.node, count.life, count.ask
+        total = self.ledger.add(self.now, count, NONE)
+        if total is None:
+            return
+        if key in self.added:
+            raise AssertionError(f"counted twice: {key}")
+        self.added[key] = total
+        self.held += [("total", total)] * self.random.choice((0, 1, 2))
+
+    def total(self, total):
+        """Each proxy gets it: an answer may stray to who has the address now."""
+        for name, proxy in self.proxies.items():
+            pending = proxy.answered(self.now, total)
+            if pending is None:
+                continue
+            if pending.done != (name, total.life, total.ask) or pending.done not in self.waits:
+                raise AssertionError(f"taken by the wrong ask: {pending.done}")
+            known = self.known[name]
+            if total.counter_life in known and total.counter_life < max(known):
+                raise AssertionError("an answer from before the counter's restart, after one from since")
+            known.add(total.counter_life)
+            del self.waits[pending.done]
+
+    def play(self):
+        steps = [self.ask] * 6 + [self.deliver] * 10 + [self.restart, lambda: self.start("n1")]
+        for _ in range(STEPS):
+            self.now += 0.01
+            step = self.random.choice(steps)
+            if step != self.deliver or self.held:
+                step()
+        while self.held:
+            self.deliver()
+
+
+def play_all():
+    for seed in range(RUNS):
+        Network(seed).play()
+
+
+def without_lives(self, now, life):
+    self.lives = [life]
+    return True
+
+
+GUARDS = {
+    "each ask once": lambda: mock.patch.object(ReplayWindow, "take", lambda self, number: True),
+    "an answer bears the life that asked": lambda: mock.patch.object(
+        Quota, "_answers", lambda self, pending, total: True
+    ),
+    "former lives are told apart": lambda: mock.patch.object(quota_module.Lives, "hear", without_lives),
+}
+
+
+class TestRandom(testtools.TestCase):
+    def test_random(self):
+        play_all()
+
+    def test_each_guard_is_needed(self):
+        for name, without in GUARDS.items():
+            with without():
+                failed = False
+                try:
+                    play_all()
+                except (self.failureException, KeyError):
+                    failed = True
+            self.assertTrue(failed, f"nothing fails without: {name}")
--- a/tests/cluster/test_quota.py
+++ b/tests/cluster/test_quota.py
@@ -28,7 +28,7 @@
     """Proxies, one counter, a delay between them; the counter may be silent, or lose what it holds."""
 
     def __init__(self, count, delay, seed=1):
-        self.ledger, self.delay, self.random = Ledger(), delay, random.Random(seed)
+        self.ledger, self.delay, self.random = Ledger("c", 1), delay, random.Random(seed)
         self.proxies = [Quota(f"n{number}", number) for number in range(count)]
         self.post, self.passed, self.refused = [], [], 0
 
@@ -37,7 +37,7 @@
         while now < seconds:
             now += step
             if lost_at is not None and now >= lost_at:
-                self.ledger, lost_at = Ledger(), None
+                self.ledger, lost_at = Ledger("c", 2), None
             quiet = silent_from <= now < silent_to
             for _ in range(int(rate * step + self.random.random())):
                 number = 0 if self.random.random() < skew else self.random.randrange(len(self.proxies))
@@ -54,7 +54,7 @@
                     if not quiet:
                         self.post.append((now + self.delay, "total", proxy, total))
                 elif kind == "total":
-                    if proxy.answered(now, message, lambda name: "c") is not None:
+                    if proxy.answered(now, message) is not None:
                         self._decide(now, proxy, tenant, proxy.fits(now, tenant, message), True)
                 elif message.ask in proxy.out:
                     proxy.late(message.ask, "c")
@@ -108,14 +108,14 @@
         """A counter that lost all holds at once what each proxy tells with its first add."""
         fleet, tenant = Fleet(4, 0.01), Tenant("t", None, 100, 100, [])
         fleet.play(tenant, 90, 3.0)
-        fleet.ledger = Ledger()
+        fleet.ledger = Ledger("c", 2)
         for proxy in fleet.proxies:
             count, _ = proxy.ask(3.0, tenant, "c", NONE, None)
             total = fleet.ledger.add(3.0, count, NONE)
         self.assertTrue(total.previous > 60, total)
 
     def test_units_past_the_limit_are_not_kept(self):
-        ledger, quota = Ledger(), Quota("n", 1)
+        ledger, quota = Ledger("c", 1), Quota("n", 1)
         tenant = Tenant("t", None, 4, 4, [])
         totals = []
         for _ in range(40):
--- a/tests/cluster/test_router.py
+++ b/tests/cluster/test_router.py
@@ -99,7 +99,9 @@
         for order in orders:
             if type(order) is t.Add and order.ip is None:
                 count = order.count
-                self.tell(t.Counted(Total(count.ask, 0.0, self.counted(count), 1.0, NONE)))
+                self.tell(
+                    t.Counted(Total(count.ask, count.life, count.counter, 1, 0.0, self.counted(count), 1.0, NONE))
+                )
         return orders
 
     def counted(self, count):
