--- a/fernyard/cluster/control_plane/__init__.py
+++ b/fernyard/cluster/control_plane/__init__.py
@@ -1,1 +1,1 @@
-"""The control plane: keeps the operator's word on disk, knows workers and gateways, tells clients where to go."""
+"""The control plane: agrees on the control state, knows workers and gateways, tells clients where to go."""
--- a/tests/cluster/test_soft_state.py
+++ b/tests/cluster/test_soft_state.py
@@ -224,7 +224,7 @@
     return GatewayHeartbeat(node, 1, f"ip-{node}", zone, region, f"{node}:80", ready, leaving, 0, NONE)
 
 
-class TestWatch(testtools.TestCase):
+class TestDiscovery(testtools.TestCase):
     def test_resolve(self):
         watch = Discovery(0.0, {"z1": "r1", "z2": "r1", "z3": "r2"}, 40.0)
         for node, zone, region in (("a", "z1", "r1"), ("b", "z1", "r1"), ("c", "z2", "r1"), ("d", "z3", "r2")):
