A gateway behind a full link waits for late answers in place of beginning again

Cause: news was fetched with 0.8 s for connection, question and answer together.

Ruled out: late beats of the gateways (none later than 0.6 s), the control planes (all others had the version within 0.3 to 1.3 s), big configurations (7.6 kB).

Change: the order of a pull says how long it may take (3 s); another source is asked each 0.6 s as before while it stays open, four open at most. A pull that fails at once is told to the subscriber, so that a process that restarts is asked again after 0.6 s (1.2 s before).

Test: a table of late and missing answers; with 0.8 s none is ever held where answers take 0.9 s.

--- a/fernyard/cluster/data_plane/process.py
+++ b/fernyard/cluster/data_plane/process.py
@@ -36,7 +36,7 @@
 from .upstreams import WorkerConnections
 
 log = Part("data-plane")
-BEAT, PULL = 0.3, 0.8  # seconds: between beats, for a pull
+BEAT = 0.3  # seconds between beats
 WATCHERS = 5  # control planes that watch one gateway
 ON_THE_WAY, WIDE = 0.06, 1 << 18  # seconds of the link that one connection may fill; bytes from where it is not bounded
 STAY, LAST = 2.2, 0.4  # seconds: after SIGTERM new connections are taken; before SIGKILL all is written
@@ -110,7 +110,6 @@
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.upstreams.start()
         self.session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=PULL),
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
         )
@@ -245,17 +244,17 @@
         try:
             if pull.plan:
                 stamp = self.subscriber.held.config
-                self.post(t.ConfigurationChanged(decode_configuration_update(await self.get(pull.ip, "news", stamp))))
+                self.post(t.ConfigurationChanged(decode_configuration_update(await self.get(pull, "news", stamp))))
                 if self.router.routes is not None:
                     self.listener.caps(self.router.routes.plan)
             if pull.registry:
                 self.post(
                     t.RegistryChanged(
-                        decode_registry_update(await self.get(pull.ip, "registry", self.router.registry.mark))
+                        decode_registry_update(await self.get(pull, "registry", self.router.registry.mark))
                     )
                 )
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
-            return  # asked again, of another
+            return self.subscriber.failed(self.now(), pull.ip)  # asked again, of another
         router = self.router
         stamp = router.routes.plan.stamp if router.routes is not None else NONE
         count = sum(entry[0] for entry in router.entries.values())
@@ -265,9 +264,11 @@
             for _, ip in self.subscriber.neighbours():
                 self.datagrams.send(notice, (ip, self.set.ports[0]))
 
-    async def get(self, ip, what, since):
+    async def get(self, pull, what, since):
         async with self.session.get(
-            f"http://{ip}:{self.set.ports[0]}/internal/{what}", params={"since": f"{since[0]}.{since[1]}"}
+            f"http://{pull.ip}:{self.set.ports[0]}/internal/{what}",
+            params={"since": f"{since[0]}.{since[1]}"},
+            timeout=aiohttp.ClientTimeout(total=pull.patience),
         ) as answer:
             body = await answer.read()
             if answer.status != 200:
--- a/fernyard/cluster/data_plane/subscription.py
+++ b/fernyard/cluster/data_plane/subscription.py
@@ -7,15 +7,17 @@
 from ..common.messages import NONE
 
 HOME_WAIT, PULL_AGAIN = 0.25, 0.6  # seconds until a silent home is passed by, until a pull is tried elsewhere
+PULL_PATIENCE, OPEN_PULLS = 3.0, 4  # seconds that an answer may take on a full link; pulls without an answer at once
 
 
 @attrs.define
 class Pull:
-    """Ask the process at that ip for what is newer than what is held."""
+    """Ask the process at that ip for what is newer than what is held; give it up after `patience` seconds."""
 
     ip: str
     plan: bool
     registry: bool
+    patience: float = PULL_PATIENCE
 
 
 @attrs.define
@@ -78,13 +80,19 @@
         return bool(self.sources)
 
     def _pull(self, now, ip):
-        # One at a time: at a start all control planes tell of the same news, and it was fetched from each.
-        if now < self.busy_until or now < self.pulled.get(ip, 0.0):
+        # One at a time: at a start all control planes tell of the same news, and it was fetched from each. One that is
+        # late stays open while the next is asked: on a full link all are late, and each given up begins from nothing.
+        self.pulled = {asked: until for asked, until in self.pulled.items() if now < until}
+        if now < self.busy_until or ip in self.pulled or len(self.pulled) >= OPEN_PULLS:
             return []
         told = self.sources[ip]
-        self.pulled[ip], self.busy_until = now + 2 * PULL_AGAIN, now + PULL_AGAIN
+        self.pulled[ip], self.busy_until = now + PULL_PATIENCE, now + PULL_AGAIN
         return [Pull(ip, told[0] > self.held.config or told[1] > self.held.evacuations, told[2] > self.held.registry)]
 
+    def failed(self, now, ip):
+        """A pull from `ip` ended without an answer; it may be asked again soon."""
+        self.pulled[ip] = now + PULL_AGAIN
+
     def got(self, now, ip, config, evacuations, registry, gateways):
         """What is held now, after a pull from `ip` ended."""
         self.held, self.gateways = Behind(config, evacuations, registry), gateways
--- a/tests/cluster/test_subscription.py
+++ b/tests/cluster/test_subscription.py
@@ -4,7 +4,7 @@
 from testtools.matchers import Equals
 
 from fernyard.cluster.common.messages import NONE, GatewayAddress
-from fernyard.cluster.data_plane.subscription import Subscriber
+from fernyard.cluster.data_plane.subscription import OPEN_PULLS, Subscriber
 
 STEP, BEAT, PULL = 0.05, 0.4, 0.8
 
@@ -125,3 +125,47 @@
         zone.run(0.3)
         self.assertThat({name for name, ip in asked if ip in zone.cores}, Equals({zone.home}))
         self.assertThat(set(zone.held.values()), Equals({(2, 7)}))
+
+
+class TestFullLink(testtools.TestCase):
+    """All answers come late where a gateway's link is full: none may be given up before it can arrive."""
+
+    def pulled(self, delays, until=6.0):
+        """When a change told at 0 by control planes is held, whose answers take `delays`; None: they never come. And how
+        many pulls were open at once at most."""
+        subscriber, pulls, now, most = Subscriber("a", "z"), [], 0.0, 0
+        for core in delays:
+            pulls += [(now, pull) for pull in subscriber.heard(now, core, (2, 7), 0, NONE)]
+        while now < until:
+            now = round(now + STEP, 6)
+            pulls += [(now, pull) for pull in subscriber.due(now)]
+            for began, pull in list(pulls):
+                delay = delays[pull.ip]
+                if delay is not None and delay <= pull.patience and now >= began + delay:
+                    return now, most
+                if now >= began + pull.patience:
+                    pulls.remove((began, pull))
+                    subscriber.failed(now, pull.ip)
+            most = max(most, len(pulls))
+        return None, most
+
+    def test_held_in_time(self):
+        names = ["c1", "c2", "c3", "c4", "c5"]
+        for delays, wanted in (
+            ((0.1, 0.1, 0.1, 0.1, 0.1), 0.1),
+            ((0.9, 0.9, 0.9, 0.9, 0.9), 0.9),
+            ((1.5, 1.5, 1.5, 1.5, 1.5), 1.5),
+            ((2.8, 2.8, 2.8, 2.8, 2.8), 2.8),
+            ((None, 1.5, 1.5, 1.5, 1.5), 2.2),
+            ((None, None, None, 1.5, 1.5), 3.4),
+        ):
+            at, most = self.pulled(dict(zip(names, delays)))
+            self.assertTrue(at is not None and at <= wanted + 0.01, (delays, at))
+            self.assertTrue(most <= OPEN_PULLS, (delays, most))
+
+    def test_one_that_failed_at_once_is_asked_again_soon(self):
+        subscriber = Subscriber("a", "z")
+        self.assertThat(len(subscriber.heard(0.0, "c1", (2, 7), 0, NONE)), Equals(1))
+        subscriber.failed(0.05, "c1")
+        self.assertThat(subscriber.due(0.1), Equals([]))
+        self.assertThat([pull.ip for pull in subscriber.due(0.7)], Equals(["c1"]))
