--- a/fernyard/cluster/data_plane/process.py
+++ b/fernyard/cluster/data_plane/process.py
@@ -34,7 +34,7 @@
 from .upstreams import WorkerConnections
 
 log = Part("data-plane")
-BEAT, PULL = 0.3, 0.8  # seconds: between beats, for a pull
+BEAT = 0.3  # seconds between beats
 WATCHERS = 5  # control planes that watch one gateway
 ON_THE_WAY, WIDE = 0.06, 1 << 18  # seconds of the link that one connection may fill; bytes from where it is not bounded
 STAY, LAST = 2.2, 0.4  # seconds: after SIGTERM new connections are taken; before SIGKILL all is written
@@ -108,7 +108,6 @@
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.upstreams.start()
         self.session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=PULL),
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
         )
@@ -242,30 +241,31 @@
         task.add_done_callback(self.tasks.remove)
 
     async def pull(self, pull):
-        router = self.router
+        router, asked_at = self.router, self.now()
         try:
             if pull.configuration:
                 held = router.routes.plan.id if router.routes is not None else ""
-                told = await self.get(pull.ip, "configuration", {"revision": str(router.revision), "held": held})
+                told = await self.get(pull, "configuration", {"revision": str(router.revision), "held": held})
                 self.post(t.ConfigurationChanged(decode_configuration_update(told)))
                 if router.routes is not None:
                     self.listener.caps(router.routes.plan)
             if pull.registry:
                 mark = router.registry.mark
-                told = await self.get(pull.ip, "registry", {"since": f"{mark[0]}.{mark[1]}"})
+                told = await self.get(pull, "registry", {"since": f"{mark[0]}.{mark[1]}"})
                 self.post(t.RegistryChanged(decode_registry_update(told)))
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
-            return  # asked again, of another
-        registry, confirmed = router.registry, pull.configuration and pull.ip in self.replicas
-        self.subscriber.got(self.now(), pull.ip, router.revision, registry.mark, registry.gateways, confirmed)
+            return self.subscriber.failed(self.now(), pull.ip)  # asked again, of another
+        registry = router.registry
+        confirmed_at = asked_at if pull.configuration and pull.ip in self.replicas else None
+        self.subscriber.got(self.now(), pull.ip, router.revision, registry.mark, registry.gateways, confirmed_at)
         notice = PeerNotice(self.set.node, self.set.ip, router.revision, router.registry.mark)
         if self.subscriber.home() == self.set.node:
             for _, ip in self.subscriber.neighbours():
                 self.datagrams.send(notice, (ip, self.set.ports[0]))
 
-    async def get(self, ip, what, query):
-        url = f"http://{ip}:{self.set.ports[0]}/internal/{what}"
-        async with self.session.get(url, params=query) as answer:
+    async def get(self, pull, what, query):
+        url = f"http://{pull.ip}:{self.set.ports[0]}/internal/{what}"
+        async with self.session.get(url, params=query, timeout=aiohttp.ClientTimeout(total=pull.patience)) as answer:
             body = await answer.read()
             if answer.status != 200:
                 raise aiohttp.ClientError(f"{what}: {answer.status}")
--- a/fernyard/cluster/data_plane/subscription.py
+++ b/fernyard/cluster/data_plane/subscription.py
@@ -8,15 +8,17 @@
 
 HOME_WAIT, PULL_AGAIN = 0.25, 0.6  # seconds until a silent home is passed by, until a pull is tried elsewhere
 RELAYED_WITHIN = 1.5  # seconds since a control plane confirmed what we hold, within which it is handed on
+PULL_PATIENCE, OPEN_PULLS = 3.0, 4  # seconds that an answer may take on a full link; pulls without an answer at once
 
 
 @attrs.define
 class Pull:
-    """Ask the process at that ip for what is newer than what is held."""
+    """Ask the process at that ip for what is newer than what is held; give it up after `patience` seconds."""
 
     ip: str
     configuration: bool
     registry: bool
+    patience: float = PULL_PATIENCE
 
 
 @attrs.define
@@ -96,17 +98,24 @@
         return bool(self.sources)
 
     def _pull(self, now, ip):
-        # One at a time: at a start all control planes tell of the same news, and it was fetched from each.
-        if now < self.busy_until or now < self.pulled.get(ip, 0.0):
+        # One at a time: at a start all control planes tell of the same news, and it was fetched from each. One that is
+        # late stays open while the next is asked: on a full link all are late, and each given up begins from nothing.
+        self.pulled = {asked: until for asked, until in self.pulled.items() if now < until}
+        if now < self.busy_until or ip in self.pulled or len(self.pulled) >= OPEN_PULLS:
             return []
         told = self.sources[ip].holding
-        self.pulled[ip], self.busy_until = now + 2 * PULL_AGAIN, now + PULL_AGAIN
+        self.pulled[ip], self.busy_until = now + PULL_PATIENCE, now + PULL_AGAIN
         return [Pull(ip, told.revision > self.held.revision, told.registry > self.held.registry)]
 
-    def got(self, now, ip, revision, registry, gateways, confirmed=False):
-        """What is held now, after a pull from `ip` ended. `confirmed`: the configuration came from a control plane."""
-        if confirmed:
-            self.confirmed_at = now
+    def failed(self, now, ip):
+        """A pull from `ip` ended without an answer; it may be asked again soon."""
+        self.pulled[ip] = now + PULL_AGAIN
+
+    def got(self, now, ip, revision, registry, gateways, confirmed_at=None):
+        """What is held now, after a pull from `ip` ended. `confirmed_at`: when the configuration was asked for, where a
+        control plane gave it."""
+        if confirmed_at is not None:
+            self.confirmed_at = max(self.confirmed_at or confirmed_at, confirmed_at)
         self.held, self.gateways = Holding(revision, registry), gateways
         self.pulled.pop(ip, None)
         self.busy_until = 0.0
