--- a/fernyard/cluster/common/lease.py
+++ b/fernyard/cluster/common/lease.py
@@ -17,6 +17,11 @@
         self.holder, self.until, self.epoch = node, now + LENGTH, epoch
         return True
 
+    def release(self, now, node):
+        """That node, if it holds the vote, gives it back."""
+        if self.holder == node:
+            self.until = min(self.until, now)
+
 
 class Holder:
     """One that would do the duty. Those that would take turns by rank, counted from when their votes are free; else all
@@ -26,11 +31,19 @@
 
     def __init__(self, node):
         self.node, self.until, self.epoch, self.asked = node, 0.0, 0, 0
-        self.asked_at, self.grants, self.next_at, self.failed = 0.0, [], 0.0, 0
+        self.asked_at, self.grants, self.next_at, self.failed, self.refused = 0.0, [], 0.0, 0, False
 
     def holds(self, now):
         return now < self.until
 
+    def gives_up(self, now):
+        """Has the last ask failed, by refusals, and is it time to ask again? Late grants of it count no more, so that our
+        own vote may be given back: kept until its end, it and those of others that failed lock each other out."""
+        if not self.refused or self.holds(now) or now < self.next_at:
+            return False
+        self.asked, self.grants, self.refused = self.asked + 1, [], False
+        return True
+
     def due(self, now, rank, free_at, epoch_seen):
         """The ask to send now, as (ask, epoch), or None. `rank`: our place among those that would do the duty; `free_at`:
         until when our own vote is given to whomever."""
@@ -43,7 +56,7 @@
                 return None
             self.epoch, self.failed = max(self.epoch, epoch_seen) + 1, self.failed + 1
             self.next_at = now + LENGTH + 2 * TURN * self.failed
-        self.asked, self.asked_at, self.grants = self.asked + 1, now, []
+        self.asked, self.asked_at, self.grants, self.refused = self.asked + 1, now, [], False
         return self.asked, self.epoch
 
     def granted(self, now, node, ask, epoch, granted, members):
@@ -52,6 +65,7 @@
             return False
         if not granted:
             self.next_at = min(self.next_at, now + RENEW)  # others hear us and we them: soon again
+            self.refused = True
             return False
         self.grants.append(node)
         if len(self.grants) * 2 <= len(members):
--- a/fernyard/cluster/control_plane/replica.py
+++ b/fernyard/cluster/control_plane/replica.py
@@ -157,6 +157,10 @@
             found.update(self.settings.seeds)
         return sorted(found - {self.settings.ip})
 
+    def may_ask_lease(self):
+        """Does nobody else that was heard of late hold the lease? Votes taken from its holder would only be split."""
+        return self._carrier() is None
+
     def add_seeds(self, ips):
         """More places where other replicas may be met."""
         seeds = tuple(dict.fromkeys((*ips, *self.settings.seeds)))
--- a/fernyard/cluster/control_plane/worker_list.py
+++ b/fernyard/cluster/control_plane/worker_list.py
@@ -51,8 +51,10 @@
     def _renew_lease(self, now):
         process = self.process
         voters = self._voters()
-        if process.replica.member not in voters:
+        if process.replica.member not in voters or not process.replica.may_ask_lease():
             return
+        if process.holder.gives_up(now):
+            process.granter.release(now, process.holder.node)
         rank, seen = voters.index(process.replica.member), self.highest_seen()
         ask = process.holder.due(now, rank, process.granter.until, seen)
         if ask is None:
--- a/tests/cluster/control_planes.py
+++ b/tests/cluster/control_planes.py
@@ -10,14 +10,18 @@
 from fernyard.cluster.common.lease import Granter, Holder
 from fernyard.cluster.control_plane import events as e
 from fernyard.cluster.control_plane.messages import CarryChange, CarryResult, Received, StoredBody, decode, encode
+from fernyard.cluster.control_plane.proposer import PATIENCE
 from fernyard.cluster.control_plane.recovery import recover
-from fernyard.cluster.control_plane.replica import Replica, ReplicaSettings
+from fernyard.cluster.control_plane.replica import SERVED_WITHIN, Replica, ReplicaSettings
 from fernyard.cluster.control_plane.state import ConfigurationId
 
 TICK = 0.2
 ANSWER_WITHIN = 0.85
 DISK = 0.003
 LINK = 0.002
+OBSERVED = 0.1  # seconds between the asks of gateways
+HAND_OVER = 4.0  # seconds that a machine which leaves waits at most
+IN_DOUBT = ANSWER_WITHIN + PATIENCE + 1.0  # seconds within which an order without a clear answer takes effect, or never
 
 
 @attrs.define
@@ -51,7 +55,8 @@
 
 @attrs.define
 class Machine:
-    """A machine with its disk: `areas` is what would survive a loss of power, as every save is synced."""
+    """A machine with its disk: `areas` is what would survive a loss of power, as every save is synced; of `writing` a first
+    part may survive as well, and what is in `erased` may come back, as a folder isn't synced after it."""
 
     name: str
     ip: str
@@ -63,6 +68,8 @@
     frozen: list | None = None
     disk: str = "well"
     stalled: list = attrs.Factory(list)
+    writing: list = attrs.Factory(list)
+    erased: dict = attrs.Factory(dict)
     published: list = attrs.Factory(list)
 
 
@@ -74,12 +81,13 @@
         self.delay, self.loss, self.doubled = delay, loss, doubled
         self.faults = faults if faults is not None else (len(names) - 1) // 2
         self.machines, self.cut, self.events, self.number = {}, set(), [], 0
-        self.answers, self.tickets, self.bytes_sent = [], {}, 0
+        self.answers, self.tickets, self.bytes_sent, self.served_wrong = [], {}, 0, []
         for name in names:
             self.add(name)
         self.seeds = tuple(self.machines[name].ip for name in names[:3])
         for name in names:
             self.start(name, bootstrap=True)
+        self.at(0.0, self.observe)
 
     # Machines and faults ---------------------------------------------------------------------------------------------
 
@@ -89,7 +97,7 @@
 
     def start(self, name, bootstrap=False):
         machine = self.machines[name]
-        machine.life, machine.frozen, machine.stalled = self.random.getrandbits(48), None, []
+        machine.life, machine.frozen, machine.stalled, machine.writing = self.random.getrandbits(48), None, [], []
         settings = ReplicaSettings(name, machine.ip, True, self.seeds, self.faults)
         disk = self.random.getrandbits(48)
         recovered = recover(dict(machine.areas), settings, bootstrap and not machine.areas, disk)
@@ -105,17 +113,38 @@
 
     def wipe(self, name):
         self.kill(name)
-        self.machines[name].areas = {}
+        self.machines[name].areas, self.machines[name].erased = {}, {}
+
+    def lose_power(self, name):
+        """What was on its way to the disk may have got there, and what was erased may be back."""
+        machine = self.machines[name]
+        if machine.replica is not None and machine.disk != "full":
+            for order in machine.writing[: self.random.randrange(len(machine.writing) + 1)]:
+                machine.areas[order.area] = order.content
+            for area, content in machine.erased.items():
+                if self.random.random() < 0.5:
+                    machine.areas.setdefault(area, content)
+        machine.erased = {}
+        self.kill(name)
+
+    def leave(self, name):
+        """The machine is told to stop, hands over and is gone."""
+        machine = self.machines[name]
+        self.tell(machine, e.Leave())
+        self.run_until(lambda: machine.replica.may_stop(), HAND_OVER)
+        self.kill(name)
 
     def freeze(self, name):
         self.machines[name].frozen = []
 
     def thaw(self, name):
-        """What came meanwhile is worked off at once."""
+        """What came meanwhile is worked off at once, and gateways ask before, between and after."""
         machine, waiting = self.machines[name], self.machines[name].frozen or []
         machine.frozen = None
+        self.ask_served(machine)
         for call, arguments in waiting:
             call(*arguments)
+            self.ask_served(machine)
 
     def part(self, *pairs):
         """`ab` cuts what a sends to b."""
@@ -166,8 +195,10 @@
     def lease(self, machine):
         replica, holder = machine.replica, machine.holder
         voters = replica.state.voters if replica.state is not None else ()
-        if replica.member in voters:
+        if replica.member in voters and replica.may_ask_lease():
             names = [str(voter) for voter in voters]
+            if holder.gives_up(self.now):
+                machine.granter.release(self.now, holder.node)
             ask = holder.due(self.now, voters.index(replica.member), machine.granter.until, machine.granter.epoch)
             if ask is not None:
                 if machine.granter.ask(self.now, holder.node, ask[1]):
@@ -176,6 +207,29 @@
                     self.send(machine, voter.ip, LeaseRequest(holder.node, *ask))
         self.tell(machine, e.LeaseChanged(holder.holds(self.now), 0))
 
+    # Gateways --------------------------------------------------------------------------------------------------------
+
+    def observe(self):
+        for machine in self.running():
+            self.ask_served(machine)
+        self.at(self.now + OBSERVED, self.observe)
+
+    def ask_served(self, machine):
+        """What a gateway is handed out lacks nothing that was confirmed before a majority had to be met."""
+        state = machine.replica.served(self.now) if machine.replica is not None else None
+        if state is None:
+            return
+        confirmed = max(
+            (a.what[1].version for a in self.answers if a.what[0] == "put" and self._confirmed_before(a)), default=0
+        )
+        if state.configuration.version < confirmed:
+            self.served_wrong.append(
+                f"{machine.name} serves {state.configuration.version} at {self.now:.2f}: {confirmed}"
+            )
+
+    def _confirmed_before(self, answer):
+        return answer.status == 200 and answer.ended < self.now - SERVED_WITHIN
+
     # Messages and disks ----------------------------------------------------------------------------------------------
 
     def tell(self, machine, event):
@@ -190,9 +244,11 @@
     def carry_out(self, machine, order):
         kind = type(order)
         if kind is e.Save:
+            machine.writing.append(order)
             self.at(self.now + DISK, self.save, machine, machine.life, order)
         elif kind is e.Erase:
-            machine.areas.pop(order.area, None)
+            if order.area in machine.areas:
+                machine.erased[order.area] = machine.areas.pop(order.area)
         elif kind is e.Send:
             self.send(machine, order.ip, decode(encode(order.message)))
         elif kind is e.PushBody:
@@ -210,9 +266,11 @@
         if machine.disk == "stalled":
             machine.stalled.append((self.save, (machine, life, order)))
             return
+        machine.writing = [other for other in machine.writing if other is not order]
         kept = machine.disk == "well"
         if kept:
             machine.areas[order.area] = order.content
+            machine.erased.pop(order.area, None)
         self.tell(machine, e.Stored(order.area, kept))
 
     def disk(self, name, how):
@@ -345,8 +403,9 @@
         self._one_state_a_revision(decided)
         self._never_back()
         self._orders(decided)
+        self._evacuations(decided)
         self._reads()
-        return self.wrong
+        return self.wrong + self.planes.served_wrong
 
     def _decided(self):
         return [(at, m.name, state) for m in self.planes.machines.values() for at, state in m.published]
@@ -391,6 +450,23 @@
             if answer.status == 409 and held == id:
                 self.wrong.append(f"{id.version} was refused, although it was taken")
 
+    def _evacuations(self, decided):
+        """How each zone stands in the end is what an order asked for that no confirmed one of the other kind came after."""
+        newest = max((state for _, _, state in decided), key=lambda state: state.revision, default=None)
+        orders = [answer for answer in self.planes.answers if answer.what[0] == "evacuate"]
+        for zone in {answer.what[1] for answer in orders}:
+            on = zone in newest.evacuated
+            ends = [self._end(a) for a in orders if a.what[1:] == (zone, on)] + ([] if on else [0.0])
+            after = [
+                a for a in orders if a.what[1:] == (zone, not on) and a.status == 200 and a.at > max(ends, default=-1)
+            ]
+            if after or not ends:
+                self.wrong.append(f"{zone} is {on} in the end, after {after}")
+
+    @staticmethod
+    def _end(answer):
+        return answer.ended if answer.status == 200 else answer.at + IN_DOUBT
+
     def _reads(self):
         """A read tells nothing older than what was confirmed, or read, before it was asked for."""
         ended = [a for a in self.planes.answers if a.status == 200 and a.what[0] in ("put", "get")]
