Control state: four faults of one replica found by reading, each with its test

- A heartbeat overtaken by another with the same ask took its place with the other's contact time, so that a majority could seem to be met that held something newer.
Now asks and accepted ballots only grow within one life.
- The bytes of a configuration were cleared away 10 s after they came while the vote that names it was still on its way to a slow disk.
Values that may yet be voted for are kept.
- A replica whose disk had lost the bytes that its vote names never stored its first vote again, and never voted nor was replaced.
It waits only for bytes that are at hand.
- A process that stood still went on with its round and its changes when queued answers came before its clock was looked at.
What is too old is given up before anything else.

--- a/fernyard/accord/ballots.py
+++ b/fernyard/accord/ballots.py
@@ -81,6 +81,11 @@
                 outcomes.append(Granted(request, before))
         return outcomes + self._advance()
 
+    def values(self):
+        """Values that may yet be voted for: what is being stored, and what waits for that."""
+        waiting = [request.value for request in self.waiting if request.accept]
+        return [*waiting, self.storing[2].value] if self.storing and self.storing[2] is not None else waiting
+
     def _advance(self):
         outcomes = []
         while self.waiting and self.storing is None:
--- a/fernyard/cluster/control_plane/contacts.py
+++ b/fernyard/cluster/control_plane/contacts.py
@@ -38,10 +38,10 @@
         return self.ask
 
     def heard(self, now, heartbeat):
-        """False for one that was overtaken on its way by a later one of the same life."""
+        """False for one that was overtaken on its way by a later one of the same life: asks and accepted ballots only grow."""
         ip, known = heartbeat.member.ip, self.peers.get(heartbeat.member.ip)
         same_life = known is not None and known.heartbeat.life == heartbeat.life
-        if same_life and heartbeat.ask < known.heartbeat.ask:
+        if same_life and _order(heartbeat) < _order(known.heartbeat):
             return False
         asked_at = self.asks.get(heartbeat.answers) if heartbeat.answers_life == self.life else None
         if asked_at is None and same_life:
@@ -87,3 +87,7 @@
         if own is not None and own.accepted == ballot:
             found.add(own.member)
         return found
+
+
+def _order(heartbeat):
+    return heartbeat.ask, heartbeat.accepted is not None, heartbeat.accepted
--- a/fernyard/cluster/control_plane/proposer.py
+++ b/fernyard/cluster/control_plane/proposer.py
@@ -83,11 +83,15 @@
         if ballot is not None:
             self.highest = max(self.highest, ballot.round)
 
-    def due(self, now, known):
-        """(members, message) pairs to send now. `known`: the newest (ballot, state) known here, or None."""
+    def expire(self, now):
+        """Gives up what is too old; to be called before anything that came is looked at, as the process may have stood
+        still meanwhile."""
         self.pending = [pending for pending in self.pending if now - pending.since < PATIENCE]
         if self.round is not None and now - self.round.at > ROUND:
             self._fail(now)
+
+    def due(self, now, known):
+        """(members, message) pairs to send now. `known`: the newest (ballot, state) known here, or None."""
         if self.round is not None:
             return self._resend(now)
         if not self.pending or now < self.retry_at or known is None:
--- a/fernyard/cluster/control_plane/replica.py
+++ b/fernyard/cluster/control_plane/replica.py
@@ -30,6 +30,7 @@
 )
 from .proposer import Decided, Proposer
 from .state import (
+    NO_CONFIGURATION,
     BeginTerm,
     ConfigurationId,
     Confirm,
@@ -103,6 +104,7 @@
 
     def step(self, now, event):
         self.now, self.orders = now, []
+        self.proposer.expire(now)
         HANDLERS[type(event)](self, event)
         self._follow_up()
         return self.orders
@@ -276,7 +278,9 @@
         first = self.first_vote
         if first is None or self.vote is not None or self.acceptor.storing is not None or self.now < self.first_vote_at:
             return
-        if first.state is None or self.bodies.is_stored(first.state.configuration):
+        # One that was lost since is fetched as any other: nobody might hold it any more.
+        id = first.state.configuration if first.state is not None else NO_CONFIGURATION
+        if self.bodies.is_stored(id) or self.bodies.content(id) is None:
             self._carry_out([self.acceptor.store(first)])
 
     # Deciding and learning -------------------------------------------------------------------------------------------
@@ -494,6 +498,7 @@
         states = [self.state, self.vote.state if self.vote is not None else None]
         states += [self.first_vote.state if self.first_vote is not None and self.vote is None else None]
         states += [self.parked[1].state if self.parked is not None else None]
+        states += self.acceptor.values()
         named.update(state.configuration for state in states if state is not None)
         changes = [call.change for call in self.calls.values()] + [p.change for p in self.proposer.pending]
         named.update(change.id for change in changes if isinstance(change, SetConfiguration))
