Members: a replacement is finished at once, and one that leaves waits for its end

Cause: the state that asks old and new members stood for up to 0.2 s. A second loss in that time, or a member that left as soon as that state was decided, left no majority of the old members, for ever: after a planned replacement and one loss, every change got 503. Change: whoever knows that state to be decided needs only the new members from then on (others that don't know of it ask the old ones and hear of it), the holder of the lease finishes it at once, and may_stop holds a leaving member until it is finished. Tests: the next loss after each kind of replacement, with three and five, and 50 ms after each of the two decisions.

--- a/fernyard/cluster/control_plane/contacts.py
+++ b/fernyard/cluster/control_plane/contacts.py
@@ -66,7 +66,8 @@
         return now - max(at, since)
 
     def confirmed_at(self, now, own, ballot, state):
-        """The latest moment as of which a majority held nothing newer than `ballot`, or None. `own`: our Vote, or None."""
+        """The latest moment as of which a majority held nothing newer than `ballot`, under which `state` was decided, or
+        None. `own`: our Vote, or None."""
         times = {}
         if own is not None and (own.accepted is None or own.accepted <= ballot):
             times[own.member] = now
@@ -77,7 +78,7 @@
         met = set()
         for member, at in sorted(times.items(), key=lambda item: -item[1]):
             met.add(member)
-            if state.has_quorum(met):
+            if state.has_quorum(met, state.epoch):
                 return at
         return None
 
--- a/fernyard/cluster/control_plane/membership.py
+++ b/fernyard/cluster/control_plane/membership.py
@@ -6,7 +6,7 @@
 """
 
 from .contacts import FRESH
-from .state import FinishReplacement, ReplaceMember
+from .state import ReplaceMember
 
 SILENT = 1.5  # seconds without a heartbeat after which a member is replaced, where one waits
 
@@ -17,7 +17,7 @@
     `own`: our Member; `state`: the newest decided, under whose term we act; `faults`: machines that may be lost at once;
     `since`: when we began to act; `leaving`: we are about to stop."""
     if state.previous:
-        return FinishReplacement(state.epoch)
+        return None  # the one under way is finished first
     spare = _spare(now, contacts, own, state, leaving)
     if spare is None:
         return None
--- a/fernyard/cluster/control_plane/proposer.py
+++ b/fernyard/cluster/control_plane/proposer.py
@@ -65,6 +65,7 @@
         self.life, self.random = life, random
         self.highest, self.round, self.pending = 0, None, []
         self.pause, self.retry_at = PAUSE, 0.0
+        self.decided_epoch = 0  # the last change of members that is known to be decided
 
     def submit(self, now, key, change):
         """Adds a change; one with a key that waits already changes nothing. False where too many wait."""
@@ -119,7 +120,7 @@
         current.promises[message.member] = (message.accepted, message.state)
         before, current.known = current.known[1], self._newest(current)
         state = current.known[1]
-        if not state.has_quorum(current.promises):
+        if not state.has_quorum(current.promises, self.decided_epoch):
             # Where the members are others than we knew, theirs is the majority that counts, and they are asked as well.
             new = [member for member in state.electorate if member not in before.electorate]
             return [(new, Prepare(current.ballot))] if new else []
@@ -150,7 +151,8 @@
         if current is None or message.ballot != current.ballot or current.state is None:
             return None
         current.accepted.add(message.member)
-        if not (current.state.has_quorum(current.accepted) and current.known[1].has_quorum(current.accepted)):
+        states = current.state, current.known[1]
+        if not all(state.has_quorum(current.accepted, self.decided_epoch) for state in states):
             return None
         self.round, self.pause = None, PAUSE
         done = {outcome.key for outcome in current.outcomes}
--- a/fernyard/cluster/control_plane/replica.py
+++ b/fernyard/cluster/control_plane/replica.py
@@ -35,6 +35,7 @@
     ConfigurationId,
     Confirm,
     ControlState,
+    FinishReplacement,
     Member,
     NumberTaken,
     SetConfiguration,
@@ -170,8 +171,10 @@
 
     def may_stop(self):
         """Is all handed over, or nobody there to take it?"""
-        if not self.is_voter and (self.state is None or not self.state.previous):
+        if self.state is None or self.member not in self.state.electorate:
             return True
+        if self.state.previous:
+            return False  # a majority of those that vote no more is still needed
         waiting = [
             peer for peer in self.contacts.fresh(self.now) if peer.heartbeat.votes and not peer.heartbeat.leaving
         ]
@@ -318,6 +321,7 @@
         if known is None or ballot > known.ballot:
             self.decided = Standing(ballot, state, as_of if as_of is not None else self.began - SERVED_WITHIN)
             self.proposer.heard_of(ballot)
+            self.proposer.decided_epoch = state.epoch
         elif ballot == known.ballot and as_of is not None:
             known.as_of = max(known.as_of, as_of)
 
@@ -335,7 +339,7 @@
         vote = self.vote
         if vote is None or vote.accepted is None or self.decided is not None and vote.accepted <= self.decided.ballot:
             return
-        if vote.state.has_quorum(self.contacts.accepted_by(vote.accepted, vote)):
+        if vote.state.has_quorum(self.contacts.accepted_by(vote.accepted, vote), self.proposer.decided_epoch):
             self._learn(vote.accepted, vote.state, None)
 
     def _settle(self):
@@ -399,6 +403,11 @@
             if change is not None:
                 self.proposer.submit(self.now, ("member",), change)
 
+    def _finish_replacement(self):
+        """At once, as until then a majority of those that vote no more is needed as well."""
+        if self.term() is not None and self.state.previous:
+            self.proposer.submit(self.now, ("member",), FinishReplacement(self.state.epoch))
+
     def _leave(self, _):
         self.leaving = True
         self._send_heartbeats()
@@ -442,6 +451,7 @@
         self._run_local()
         self._learn_from_disks()
         self._settle()
+        self._finish_replacement()
         self._send_to_members(self.proposer.due(self.now, self._newest_known()))
         self._run_local()
         self._keep_bodies()
--- a/fernyard/cluster/control_plane/state.py
+++ b/fernyard/cluster/control_plane/state.py
@@ -88,9 +88,12 @@
         """All whose votes count, in a stable order."""
         return tuple(sorted({*self.voters, *self.previous}))
 
-    def has_quorum(self, members):
-        """Is a majority of each group that has to agree among `members`?"""
-        groups = [group for group in (self.voters, self.previous) if group]
+    def has_quorum(self, members, decided_epoch=0):
+        """Is a majority of each group that has to agree among `members`? `decided_epoch`: a change of members known to be
+        decided. The former members of that one need not agree any more: whoever does not know of it asks a majority of
+        them, hears of it, and then needs the voters as well; and all that follows it needs a majority of the voters."""
+        finished = self.epoch <= decided_epoch
+        groups = [group for group in (self.voters, () if finished else self.previous) if group]
         return bool(groups) and all(len(set(group) & set(members)) * 2 > len(group) for group in groups)
 
 
--- a/tests/cluster/test_control_state.py
+++ b/tests/cluster/test_control_state.py
@@ -1,6 +1,8 @@
 """What the control state has to hold on the worst days (docs/control-state.md), each brought about on control planes of the
 simulation: a majority before anything is told, one configuration a number, members by agreement, snapshots, fencing."""
 
+from functools import partial
+
 import msgspec
 import testtools
 from testtools.matchers import Equals
@@ -23,6 +25,9 @@
     founding_state,
 )
 
+from .control_planes import ControlPlanes, History
+from .schedules import SYNC
+
 IPS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
 SETTINGS = ReplicaSettings("a", IPS[0], True, IPS, 1)
 FOUNDED = founding_state(IPS)
@@ -84,6 +89,113 @@
         self.assertThat([o for o in orders if type(o) is e.Send and type(o.message) is Accept], Equals([]))
 
 
+class TestMembers(testtools.TestCase):
+    """Point 3: the number of those that vote is whole again within `SYNC` of a newcomer's start, and the next loss is borne."""
+
+    def begin(self, names, **options):
+        planes = ControlPlanes(names, **options)
+        planes.run(SYNC)
+        self.assertThat(planes.finish(planes.put("a", 1)), Equals(200))
+        return planes
+
+    def check(self, planes, size, told):
+        """All is well again: a change at each machine is taken, the voters are as many as ever, and the history holds."""
+        for machine in planes.running():
+            answer = planes.put(machine.name, 10 + int(planes.now * 100))
+            self.assertThat(planes.finish(answer), Equals(200), (told, machine.name))
+        planes.run(1.0)
+        self.assertTrue(planes.settled(), told)
+        self.assertThat(len(planes.state(planes.running()[0].name).voters), Equals(size), told)
+        self.assertThat(History(planes).check(), Equals([]), told)
+
+    def replace(self, planes, how, name):
+        if how == "planned":
+            planes.add("n")
+            planes.start("n")
+            planes.run(SYNC)
+            planes.leave(name)
+        elif how == "unplanned":
+            planes.kill(name)
+            planes.run(0.5)
+            planes.add("n")
+            planes.start("n")
+            planes.run(SYNC)
+        else:
+            planes.wipe(name)
+            planes.start(name)
+            planes.run(SYNC)
+
+    def test_the_next_loss_is_borne(self):
+        for names in ("abc", "abcde"):
+            for how in ("planned", "unplanned", "wiped"):
+                for first in names[0], names[-1]:
+                    with self.subTest(names=names, how=how, first=first):
+                        planes = self.begin(names)
+                        self.replace(planes, how, first)
+                        lost = [name for name in names if name != first][: planes.faults]
+                        planes.kill(*lost)
+                        planes.run(SYNC)
+                        self.check(planes, len(names), (names, how, first))
+
+    def test_a_loss_50_ms_after_the_change_was_decided_is_borne(self):
+        """Both after the state that asks both groups, and after the one that follows it; the lost one may hold the lease."""
+        for delay in (0.002, 0.02):
+            for begun in (True, False):
+                for second in "ab":
+                    with self.subTest(delay=delay, begun=begun, second=second):
+                        planes = self.begin("abc", delay=delay)
+                        planes.kill("c")
+                        planes.add("n")
+                        planes.start("n")
+                        changed = partial(self.is_changed, planes, begun)
+                        self.assertIsNotNone(planes.run_until(changed, SYNC))
+                        planes.run(0.05)
+                        planes.kill(second)
+                        planes.run(SYNC)
+                        self.check(planes, 3, (delay, begun, second))
+
+    def is_changed(self, planes, begun):
+        states = [machine.replica.state for machine in planes.running() if machine.replica.state]
+        return any(state.epoch > 1 and bool(state.previous) == begun for state in states)
+
+    def test_one_that_was_only_cut_off_returns_and_waits(self):
+        for names in ("abc", "abcde"):
+            planes = self.begin(names)
+            planes.add("n")
+            planes.start("n")
+            planes.isolate("a")
+            planes.run(SYNC)
+            self.assertThat(planes.put("a", 3).status, Equals(None))
+            self.assertThat(planes.finish(planes.put("b", 4)), Equals(200))
+            planes.join()
+            planes.run(SYNC)
+            self.assertNotIn(planes.machines["a"].replica.member, planes.state("a").voters)
+            planes.kill("b")  # and it takes the place of the next that is lost
+            planes.run(SYNC)
+            self.assertIn(planes.machines["a"].replica.member, planes.state("a").voters)
+            self.check(planes, len(names), names)
+
+    def test_the_first_voters_are_as_many_as_are_needed_soon_after_the_start(self):
+        """Cause: votes for the lease that the losers kept for themselves, two and two of four."""
+        for seed in range(40):
+            planes = ControlPlanes("abcde", seed, delay=FAR)
+            planes.run(SYNC)
+            self.assertTrue(planes.settled(), seed)
+            self.assertThat(len(planes.state("a").voters), Equals(5), seed)
+
+    def test_a_wiped_disk_is_replaced_soon_after_a_loss_of_power_of_all(self):
+        for seed in range(40):
+            planes = ControlPlanes(seed=seed, loss=0.03)
+            planes.run(SYNC)
+            for name in "abc":
+                planes.wipe(name) if name == "b" else planes.lose_power(name)
+            for name in "abc":
+                planes.start(name)
+                planes.run(0.1)
+            planes.run(SYNC)
+            self.assertThat(planes.voters("a"), Equals("abc"), seed)
+
+
 if __name__ == "__main__":
     import unittest
 
