Evacuations: an order from before a process stood still does not undo a later one

Cause: a frozen control plane took an evacuation that had waited in its socket, or that another had handed to it to carry, when it woke, after its caller had sent it elsewhere, had it confirmed and had it taken back. Change: a change to be carried names the last ask of its carrier, which refuses one older than 2 s; a process that took no step for 1 s gives no clear answer to evacuations for 0.3 s; nobody begins with a change later than its caller waits (patience 1 s in place of 3). Configurations have numbers and are taken as before.

--- a/fernyard/cluster/control_plane/contacts.py
+++ b/fernyard/cluster/control_plane/contacts.py
@@ -37,6 +37,10 @@
             del self.asks[number]
         return self.ask
 
+    def is_answer_within(self, now, seconds, life, ask):
+        """Was that ask of ours sent so few seconds ago? What answers it can't be older."""
+        return life == self.life and now - self.asks.get(ask, now - ASKS_KEPT) <= seconds
+
     def heard(self, now, heartbeat):
         """False for one that was overtaken on its way by a later one of the same life: asks and accepted ballots only grow."""
         ip, known = heartbeat.member.ip, self.peers.get(heartbeat.member.ip)
--- a/fernyard/cluster/control_plane/messages.py
+++ b/fernyard/cluster/control_plane/messages.py
@@ -75,11 +75,14 @@
 
 
 class CarryChange(Message):
-    """Asks the one that carries the changes of all to have this one decided."""
+    """Asks the one that carries the changes of all to have this one decided. `answers` is the last ask that was heard from
+    it, in its life `answers_life`, so that it knows how old this is."""
 
     key: int
     life: int
     change: AnyChange
+    answers_life: int
+    answers: int
 
 
 class CarryResult(Message):
--- a/fernyard/cluster/control_plane/proposer.py
+++ b/fernyard/cluster/control_plane/proposer.py
@@ -13,7 +13,7 @@
 ASK_AGAIN = 0.2  # seconds until voters that did not answer are asked again
 ROUND = 1.2  # seconds after which a round is given up
 PAUSE, LONGEST_PAUSE = 0.03, 0.5  # after a refused round, drawn by chance up to it, doubling
-PATIENCE = 3.0  # seconds after which a change that found no majority is dropped
+PATIENCE = 1.0  # seconds after which a change that found no majority is dropped
 MOST_PENDING = 64
 
 
--- a/fernyard/cluster/control_plane/replica.py
+++ b/fernyard/cluster/control_plane/replica.py
@@ -46,6 +46,9 @@
 SERVED_WITHIN = 1.0  # seconds since a majority was met, within which what is decided is handed out
 SETTLE_AFTER, SETTLE_STEP = 0.3, 0.15  # seconds until an unfinished decision is finished; more for each rank
 CARRY_WAIT = 0.4  # seconds until a change that another carries is proposed here as well
+CARRIED_WITHIN = 2.0  # seconds; a change that was given to us longer ago is not carried any more
+CALLED_WITHIN = 1.0  # seconds that a caller waits at most: an older order is not begun any more
+STOOD_STILL, AWAKE = 1.0, 0.3  # seconds without a step, and until all that came meanwhile has been worked off
 ASK_AGAIN = 0.1  # seconds until an urgent heartbeat is sent again
 MOST_SEEDS = 12
 VOTE_AGAIN = 0.3  # after the disk refused the first vote
@@ -86,6 +89,7 @@
         """`life`: a number that no other run of any process has; `vote`: the Vote to begin with, from the disk or made for a
         first start (None: this machine keeps nothing); `bodies`: {ConfigurationId: bytes} of the disk."""
         self.settings, self.life, self.now, self.began = settings, life, now, now
+        self.stepped_at, self.woke_at = now, now - AWAKE
         self.random = Random(life)
         self.first_vote, self.first_vote_at = vote, now
         self.member = vote.member if vote is not None else Member(settings.ip, 0)
@@ -104,7 +108,9 @@
     # What is asked of it ---------------------------------------------------------------------------------------------
 
     def step(self, now, event):
-        self.now, self.orders = now, []
+        if now - self.stepped_at > STOOD_STILL:
+            self.woke_at = now
+        self.now, self.stepped_at, self.orders = now, now, []
         self.proposer.expire(now)
         HANDLERS[type(event)](self, event)
         self._follow_up()
@@ -191,6 +197,11 @@
         self._call(event.ticket, SetConfiguration(event.id))
 
     def _evacuate(self, event):
+        """One that came while the process stood still may have been followed by a later one elsewhere: no clear answer.
+        Configurations have numbers and need no such care."""
+        if self.now - self.woke_at < AWAKE:
+            self.orders.append(e.Reply(event.ticket, 503))
+            return
         self._call(event.ticket, SetEvacuation(event.zone, event.on))
 
     def _call(self, ticket, change):
@@ -199,7 +210,8 @@
         if carrier is None:
             self._propose_call(ticket, call)
         else:
-            self._send(carrier, CarryChange(ticket, self.life, change))
+            heartbeat = self.contacts.peers[carrier].heartbeat
+            self._send(carrier, CarryChange(ticket, self.life, change, heartbeat.life, heartbeat.ask))
 
     def _propose_call(self, ticket, call):
         call.proposed = True
@@ -219,6 +231,8 @@
             self.orders.append(e.Reply(event.ticket, 503))
 
     def _carry(self, ip, message):
+        if not self.contacts.is_answer_within(self.now, CARRIED_WITHIN, message.answers_life, message.answers):
+            return
         key = ("carried", ip, message.life, message.key)
         self.proposer.submit(self.now, key, message.change)
 
@@ -528,7 +542,7 @@
                 self._answer_read(ticket, call)
             elif isinstance(call.change, SetConfiguration) and self._is_decided(call.change.id):
                 self._answer(ticket, None)
-            elif not call.proposed and self.now - call.since >= CARRY_WAIT:
+            elif not call.proposed and CARRY_WAIT <= self.now - call.since < CALLED_WITHIN:
                 self._propose_call(ticket, call)
 
     def _is_decided(self, id):
--- a/tests/cluster/test_control_state.py
+++ b/tests/cluster/test_control_state.py
@@ -200,3 +200,31 @@
     import unittest
 
     unittest.main()
+
+
+class TestStandingStill(testtools.TestCase):
+    """Point 5, and what point 1 says of a frozen machine: nothing from before is done after it wakes."""
+
+    def begin(self):
+        planes = ControlPlanes()
+        planes.run(SYNC)
+        holder = next(m.name for m in planes.running() if m.replica.lease_held)
+        others = [name for name in "abc" if name != holder]
+        return planes, holder, others
+
+    def test_an_order_from_before_does_not_undo_a_later_one(self):
+        """Sent to the frozen one itself, or to another that hands it to the frozen one."""
+        for sent_to_frozen in (True, False):
+            planes, holder, (other, third) = self.begin()
+            planes.freeze(holder)
+            planes.evacuate(holder if sent_to_frozen else other, "z1")
+            planes.run(0.3)
+            again = planes.evacuate(third, "z1")
+            self.assertThat(planes.finish(again), Equals(200))
+            planes.run(SYNC)
+            self.assertThat(planes.finish(planes.evacuate(third, "z1", False)), Equals(200))
+            planes.run(CUT_OFF - SYNC)
+            planes.thaw(holder)
+            planes.run(SYNC)
+            self.assertThat(planes.state(holder).evacuated, Equals([]), sent_to_frozen)
+            self.assertThat(History(planes).check(), Equals([]), sent_to_frozen)
