--- a/fernyard/cluster/control_plane/proposer.py
+++ b/fernyard/cluster/control_plane/proposer.py
@@ -13,17 +13,17 @@
 ASK_AGAIN = 0.2  # seconds until voters that did not answer are asked again
 ROUND = 1.2  # seconds after which a round is given up
 PAUSE, LONGEST_PAUSE = 0.03, 0.5  # after a refused round, drawn by chance up to it, doubling
-PATIENCE = 1.0  # seconds after which a change that found no majority is dropped
+PATIENCE = 3.0  # seconds after which a change that found no majority is dropped
 MOST_PENDING = 64
 
 
 @attrs.define
 class Pending:
-    """A change that waits to be decided. `key` names it to whoever submitted it."""
+    """A change that waits to be decided, until `until` at most. `key` names it to whoever submitted it."""
 
     key: object
     change: object
-    since: float
+    until: float
 
 
 @attrs.define
@@ -67,18 +67,15 @@
         self.pause, self.retry_at = PAUSE, 0.0
         self.decided_epoch = 0  # the last change of members that is known to be decided
 
-    def submit(self, now, key, change):
+    def submit(self, now, key, change, patience=PATIENCE):
         """Adds a change; one with a key that waits already changes nothing. False where too many wait."""
         if any(pending.key == key for pending in self.pending):
             return True
         if len(self.pending) >= MOST_PENDING:
             return False
-        self.pending.append(Pending(key, change, now))
+        self.pending.append(Pending(key, change, now + patience))
         return True
 
-    def withdraw(self, key):
-        self.pending = [pending for pending in self.pending if pending.key != key]
-
     def heard_of(self, ballot):
         """Another's ballot: ours must be higher."""
         if ballot is not None:
@@ -87,7 +84,7 @@
     def expire(self, now):
         """Gives up what is too old; to be called before anything that came is looked at, as the process may have stood
         still meanwhile."""
-        self.pending = [pending for pending in self.pending if now - pending.since < PATIENCE]
+        self.pending = [pending for pending in self.pending if now < pending.until]
         if self.round is not None and now - self.round.at > ROUND:
             self._fail(now)
 
--- a/fernyard/cluster/control_plane/replica.py
+++ b/fernyard/cluster/control_plane/replica.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ...accord.ballots import Acceptor, Granted, Refused, Request, StoreVote
+from ..common.lease import LENGTH, MARGIN
 from . import events as e, membership
 from .bodies import Bodies
 from .contacts import Contacts
@@ -28,7 +29,7 @@
     Refusal,
     ReplicaHeartbeat,
 )
-from .proposer import Decided, Proposer
+from .proposer import PATIENCE, Decided, Proposer
 from .state import (
     NO_CONFIGURATION,
     BeginTerm,
@@ -48,6 +49,7 @@
 CARRY_WAIT = 0.4  # seconds until a change that another carries is proposed here as well
 CARRIED_WITHIN = 2.0  # seconds; a change that was given to us longer ago is not carried any more
 CALLED_WITHIN = 1.0  # seconds that a caller waits at most: an older order is not begun any more
+LEASE_TOLD_WITHIN = LENGTH - MARGIN  # seconds for which holding the lease is believed after it was told
 STOOD_STILL, AWAKE = 1.0, 0.3  # seconds without a step, and until all that came meanwhile has been worked off
 ASK_AGAIN = 0.1  # seconds until an urgent heartbeat is sent again
 MOST_SEEDS = 12
@@ -100,6 +102,7 @@
         self.decided, self.published, self.unsettled_at = None, None, None
         self.calls, self.orders, self.local = {}, [], deque()
         self.registry_mark = (0, 0)
+        self.lease_told_at = now
         self.lease_held, self.above, self.claim, self.carrying_since, self.leaving = False, 0, 0, now, False
         if vote is not None:
             self.proposer.heard_of(vote.promised)
@@ -151,9 +154,14 @@
             return None
         return self.decided.state
 
+    @property
+    def leads(self):
+        """Is the lease held here, as was told of late? Whoever stood still holds it no more."""
+        return self.lease_held and self.now - self.lease_told_at < LEASE_TOLD_WITHIN
+
     def term(self):
         """The term under which this process acts for all, or None."""
-        if not self.lease_held or self.state is None or self.state.claim != self.claim:
+        if not self.leads or self.state is None or self.state.claim != self.claim:
             return None
         return self.state.term
 
@@ -215,11 +223,16 @@
 
     def _propose_call(self, ticket, call):
         call.proposed = True
-        self.proposer.submit(self.now, ("own", ticket), call.change)
+        self._submit(("own", ticket), call.change)
+
+    def _submit(self, key, change):
+        """An evacuation that is taken late might undo a later one; a configuration has a number and can't."""
+        patience = CALLED_WITHIN if isinstance(change, SetEvacuation) else PATIENCE
+        self.proposer.submit(self.now, key, change, patience)
 
     def _carrier(self):
         """The ip of another that holds the lease, whom changes are given to so that proposals don't meet."""
-        if self.lease_held:
+        if self.leads:
             return None
         return next((peer.member.ip for peer in self.contacts.fresh(self.now) if peer.heartbeat.carries), None)
 
@@ -234,7 +247,7 @@
         if not self.contacts.is_answer_within(self.now, CARRIED_WITHIN, message.answers_life, message.answers):
             return
         key = ("carried", ip, message.life, message.key)
-        self.proposer.submit(self.now, key, message.change)
+        self._submit(key, message.change)
 
     def _carried(self, ip, message):
         if message.life == self.life:
@@ -383,7 +396,7 @@
         """Our place among those that vote, the holder of the lease first, so that not all propose at once."""
         known = self._newest_known()
         electorate = known[1].electorate
-        return 0 if self.lease_held or self.member not in electorate else 1 + electorate.index(self.member)
+        return 0 if self.leads or self.member not in electorate else 1 + electorate.index(self.member)
 
     def _newest_known(self):
         """(ballot, state) of the newest state known here, decided or only accepted by us; None: none."""
@@ -399,7 +412,7 @@
     def _lease(self, event):
         if event.held and not self.lease_held:
             self.claim, self.carrying_since = self.random.getrandbits(48) | 1, self.now
-        self.lease_held, self.above = event.held, event.above
+        self.lease_held, self.lease_told_at, self.above = event.held, self.now, event.above
         if not event.held or self.state is None:
             return
         if self.state.claim != self.claim:
@@ -453,7 +466,7 @@
             ready=decided is not None and self.bodies.is_stored(decided.state.configuration),
             votes=vote is not None,
             leaving=self.leaving,
-            carries=self.lease_held,
+            carries=self.leads,
             registry=self.registry_mark,
             urgent=urgent,
         )
--- a/tests/cluster/control_planes.py
+++ b/tests/cluster/control_planes.py
@@ -10,9 +10,15 @@
 from fernyard.cluster.common.lease import Granter, Holder
 from fernyard.cluster.control_plane import events as e
 from fernyard.cluster.control_plane.messages import CarryChange, CarryResult, Received, StoredBody, decode, encode
-from fernyard.cluster.control_plane.proposer import PATIENCE
+from fernyard.cluster.control_plane.proposer import ROUND
 from fernyard.cluster.control_plane.recovery import recover
-from fernyard.cluster.control_plane.replica import SERVED_WITHIN, Replica, ReplicaSettings
+from fernyard.cluster.control_plane.replica import (
+    CALLED_WITHIN,
+    CARRIED_WITHIN,
+    SERVED_WITHIN,
+    Replica,
+    ReplicaSettings,
+)
 from fernyard.cluster.control_plane.state import ConfigurationId
 
 TICK = 0.2
@@ -21,7 +27,9 @@
 LINK = 0.002
 OBSERVED = 0.1  # seconds between the asks of gateways
 HAND_OVER = 4.0  # seconds that a machine which leaves waits at most
-IN_DOUBT = ANSWER_WITHIN + PATIENCE + 1.0  # seconds within which an order without a clear answer takes effect, or never
+IN_DOUBT = (
+    CARRIED_WITHIN + CALLED_WITHIN + ROUND
+)  # seconds within which an order without a clear answer takes effect, or never
 
 
 @attrs.define
@@ -50,6 +58,7 @@
     at: float
     status: int | None = None
     body: bytes = b""
+    taken: ConfigurationId | None = None
     ended: float = 0.0
 
 
@@ -137,14 +146,24 @@
     def freeze(self, name):
         self.machines[name].frozen = []
 
-    def thaw(self, name):
-        """What came meanwhile is worked off at once, and gateways ask before, between and after."""
+    def deafen(self, name):
+        """It is heard and hears nothing."""
+        self.part(*(other + name for other in self.machines if other != name))
+
+    def mute(self, name):
+        """It hears and is not heard."""
+        self.part(*(name + other for other in self.machines if other != name))
+
+    def thaw(self, name, between=None):
+        """What came meanwhile is worked off at once, and gateways ask before, between and after. `between` is called then."""
         machine, waiting = self.machines[name], self.machines[name].frozen or []
         machine.frozen = None
         self.ask_served(machine)
         for call, arguments in waiting:
             call(*arguments)
             self.ask_served(machine)
+            if between is not None:
+                between()
 
     def part(self, *pairs):
         """`ab` cuts what a sends to b."""
@@ -256,7 +275,7 @@
         elif kind is e.FetchBody:
             self.fetch(machine, order)
         elif kind is e.Reply:
-            self.reply(order.ticket, order.status, order.body)
+            self.reply(order)
         elif kind is e.Publish:
             machine.published.append((self.now, machine.replica.state))
 
@@ -341,10 +360,10 @@
         if self.tickets.get(ticket) is not None and machine.replica is not None and machine.life == life:
             self.tell(machine, e.Expired(ticket))
 
-    def reply(self, ticket, status, body):
-        answer = self.tickets.pop(ticket, None)
+    def reply(self, order):
+        answer = self.tickets.pop(order.ticket, None)
         if answer is not None:
-            answer.status, answer.body, answer.ended = status, body, self.now
+            answer.status, answer.body, answer.taken, answer.ended = order.status, order.body, order.taken, self.now
 
     def put(self, name, version, text=""):
         body = f"v{version}{text}".encode()
--- a/tests/cluster/schedules.py
+++ b/tests/cluster/schedules.py
@@ -46,10 +46,6 @@
         self.hurt[name] = kind
         if kind in ("stalled", "full"):
             planes.disk(name, kind)
-        elif kind == "deafen":
-            planes.part(*(other + name for other in planes.machines if other != name))
-        elif kind == "mute":
-            planes.part(*(name + other for other in planes.machines if other != name))
         else:
             getattr(planes, kind)(name)
 
--- a/tests/cluster/test_control_state.py
+++ b/tests/cluster/test_control_state.py
@@ -5,8 +5,9 @@
 
 import msgspec
 import testtools
-from testtools.matchers import Equals
+from testtools.matchers import Equals, GreaterThan, LessThan
 
+from fernyard.cluster.common.registry import Registry
 from fernyard.cluster.control_plane import events as e
 from fernyard.cluster.control_plane.bodies import UNUSED, area_of
 from fernyard.cluster.control_plane.contacts import Contacts
@@ -17,15 +18,18 @@
     Received,
     ReplicaHeartbeat,
 )
-from fernyard.cluster.control_plane.replica import VOTE, Replica, ReplicaSettings
+from fernyard.cluster.control_plane.replica import SERVED_WITHIN, VOTE, Replica, ReplicaSettings
 from fernyard.cluster.control_plane.state import (
     Ballot,
     ConfigurationId,
+    Member,
+    Outdated,
+    ReplaceMember,
     Vote,
     founding_state,
 )
 
-from .control_planes import ControlPlanes, History
+from .control_planes import DISK, LINK, TICK, ControlPlanes, History
 from .schedules import SYNC
 
 IPS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
@@ -228,3 +232,233 @@
             planes.run(SYNC)
             self.assertThat(planes.state(holder).evacuated, Equals([]), sent_to_frozen)
             self.assertThat(History(planes).check(), Equals([]), sent_to_frozen)
+
+    def test_a_holder_of_the_lease_that_stood_still_does_nothing_under_its_old_term(self):
+        """It was about to replace a member and to write the registry; others have done both since."""
+        planes, holder, (other, third) = self.begin()
+        frozen = planes.machines[holder]
+        term, members = frozen.replica.term(), planes.state(holder)
+        planes.add("n")
+        planes.start("n")
+        planes.run(1.0)
+        late = ReplaceMember(
+            members.epoch, term, planes.machines[other].replica.member, planes.machines["n"].replica.member
+        )
+        planes.freeze(holder)
+        frozen.frozen.append((frozen.replica.proposer.submit, (planes.now + CUT_OFF, ("member",), late)))
+        registry, follower = Registry(), Registry()
+        registry.write(term, {}, {})
+        planes.run(CUT_OFF)
+        successor = next(m.replica for m in planes.running() if m.replica.lease_held)
+        self.assertThat(successor.term(), GreaterThan(term))
+        follower.write(successor.term(), {}, {})
+        before = successor.state
+        acted = []
+        planes.thaw(holder, lambda: acted.append(frozen.replica.term()))
+        planes.run(SYNC)
+        self.assertThat([held for held in acted[1:] if held == term], Equals([]))
+        self.assertFalse(follower.follow(registry.since((0, 0), 0.0), 0.0))
+        self.assertThat(planes.state(holder).voters, Equals(before.voters))
+        self.assertTrue(planes.settled())
+
+    def test_a_change_of_members_of_an_earlier_epoch_or_term_is_refused(self):
+        state = msgspec.structs.replace(FOUNDED, epoch=4, term=7)
+        new = Member("10.0.0.4", 5)
+        for epoch, term, leaving, joining in (
+            (3, 7, FOUNDED.voters[0], new),
+            (4, 6, FOUNDED.voters[0], new),
+            (4, 7, new, Member("10.0.0.5", 6)),
+            (4, 7, FOUNDED.voters[0], FOUNDED.voters[1]),
+        ):
+            self.assertRaises(Outdated, ReplaceMember(epoch, term, leaving, joining).apply, state)
+        begun = ReplaceMember(4, 7, FOUNDED.voters[0], new).apply(state)
+        self.assertRaises(Outdated, ReplaceMember(5, 7, FOUNDED.voters[1], Member("10.0.0.5", 6)).apply, begun)
+
+
+class TestMajorityFirst(testtools.TestCase):
+    """Point 1: what a cut-off machine says for 20 s, and when it is back."""
+
+    def test_a_cut_off_machine_tells_and_confirms_nothing_and_refuses_nothing(self):
+        for names in ("abc", "abcde"):
+            for trouble in ("isolate", "deafen", "mute", "freeze"):
+                for leads in (True, False):
+                    with self.subTest(names=names, trouble=trouble, leads=leads):
+                        self.cut_off(names, trouble, leads)
+
+    def cut_off(self, names, trouble, leads):
+        planes = ControlPlanes(names)
+        planes.run(SYNC)
+        self.assertThat(planes.finish(planes.put("a", 1)), Equals(200))
+        victim = next(m for m in planes.running() if m.replica.lease_held == leads)
+        others = [name for name in names if name != victim.name]
+        getattr(planes, trouble)(victim.name)
+        began, told = planes.now, []
+        for version in range(2, 22):
+            planes.run(0.1)
+            told.append(planes.put(victim.name, version, "other"))
+            told.append(planes.evacuate(victim.name, "z"))
+            told.append(planes.get(victim.name))
+            answer = planes.put(others[version % len(others)], version)
+            planes.run(0.9)
+            self.assertThat(answer.status, Equals(200), version)
+            if trouble != "freeze" and planes.now - began > SERVED_WITHIN:
+                self.assertIsNone(victim.replica.served(planes.now), version)
+        self.assertThat({a.status for a in told if a.ended < planes.now} - {503, None}, Equals(set()))
+        planes.join()
+        planes.thaw(victim.name)
+        read = planes.get(victim.name)
+        self.assertThat(planes.finish(read, 3.0), Equals(200))
+        self.assertThat(read.body, Equals(b"v21"))
+        planes.run(SYNC)
+        self.assertTrue(planes.settled())
+        self.assertThat(History(planes).check(), Equals([]))
+
+
+class TestOneNumber(testtools.TestCase):
+    """Point 2: same number, other bytes."""
+
+    def begin(self):
+        planes = ControlPlanes()
+        planes.run(SYNC)
+        self.assertThat(planes.finish(planes.put("a", 4)), Equals(200))
+        return planes
+
+    def check(self, planes):
+        planes.run(SYNC)
+        self.assertTrue(planes.settled())
+        self.assertThat(History(planes).check(), Equals([]))
+
+    def test_two_operators_at_two_machines(self):
+        """At once, or one after the other; the second is told that the number is taken, and what holds it."""
+        for delay in (LINK, FAR):
+            for pause in (0.0, 0.002, 0.004, 0.01, 0.05, 0.3, 2.0):
+                for first, second in ("ab", "bc", "ca", "aa"):
+                    planes = ControlPlanes(delay=delay)
+                    planes.run(SYNC)
+                    answers = [planes.put(first, 5, "x")]
+                    planes.run(pause)
+                    answers.append(planes.put(second, 5, "y"))
+                    planes.run(1.0)
+                    self.assertThat(sorted(a.status for a in answers), Equals([200, 409]), (delay, pause, first))
+                    taken = next(a for a in answers if a.status == 409).taken
+                    self.assertThat(taken, Equals(planes.state("c").configuration))
+                    self.check(planes)
+
+    def test_a_lost_answer_retries_elsewhere_and_a_restart_of_all(self):
+        """The same bytes again are confirmed, or get no clear answer; other bytes are refused for ever, also after newer."""
+        planes = self.begin()
+        planes.put("a", 5, "x")
+        planes.run(0.004)
+        planes.lose_power("a")  # its caller hears nothing
+        retry = planes.put("b", 5, "x")
+        self.assertThat(planes.finish(retry), Equals(200))
+        self.assertThat(planes.finish(planes.put("c", 5, "y")), Equals(409))
+        for name in "abc":
+            planes.lose_power(name)
+        for name in "abc":
+            planes.start(name)
+        planes.run(SYNC)
+        for name, text, status in (("a", "x", 200), ("b", "y", 409), ("c", "x", 200)):
+            self.assertThat(planes.finish(planes.put(name, 5, text)), Equals(status), (name, text))
+        self.assertThat(planes.finish(planes.put("a", 9)), Equals(200))
+        for name, text, status in (("a", "x", 200), ("b", "y", 409), ("c", "x", 200)):
+            self.assertThat(planes.finish(planes.put(name, 5, text)), Equals(status), (name, text))
+        self.assertThat(planes.finish(planes.put("a", 2, "older")), Equals(200))
+        self.check(planes)
+
+    def test_a_first_try_still_under_way_at_a_machine_that_is_cut_off(self):
+        """It is tried again elsewhere with other bytes in between; the first one comes back and changes nothing."""
+        planes = self.begin()
+        planes.isolate("a")
+        first = planes.put("a", 5, "x")
+        self.assertThat(planes.finish(planes.put("b", 5, "y")), Equals(200))
+        planes.join()
+        planes.run(2.0)
+        self.assertIn(first.status, (409, 503))
+        self.assertThat(planes.state("a").configuration, Equals(planes.state("b").configuration))
+        self.check(planes)
+
+
+class TestFounding(testtools.TestCase):
+    """Point 3: the first start founds exactly one membership."""
+
+    def test_a_seed_that_starts_late_or_dies_in_the_first_second(self):
+        for seed in range(10):
+            for trouble in ("late", "kill", "wipe", "lose_power"):
+                planes = ControlPlanes("abcd", seed, faults=1)
+                planes.kill("b") if trouble == "late" else planes.run(0.1 * seed)
+                if trouble == "late":
+                    planes.run(1.0)
+                    planes.start("b", bootstrap=True)
+                else:
+                    getattr(planes, trouble)("b")
+                    planes.run(1.0)
+                    planes.start("b")
+                planes.run(SYNC + 1.0)
+                self.assertTrue(planes.settled(), (seed, trouble))
+                self.assertThat(len(planes.state("a").voters), Equals(3))
+                self.assertThat(planes.finish(planes.put("b", 3)), Equals(200), (seed, trouble))
+
+    def test_other_seeds_or_ones_that_are_cut_off_found_no_second_one(self):
+        planes = ControlPlanes()
+        planes.run(SYNC)
+        for name in "mno":
+            planes.add(name)
+        planes.part(*(x + y for x in "abc" for y in "mno"), *(y + x for x in "abc" for y in "mno"))
+        planes.seeds = tuple(planes.machines[name].ip for name in "mno")
+        for name in "mno":
+            planes.start(name)
+        planes.run(SYNC)
+        self.assertThat([planes.state(name) for name in "mno"], Equals([None] * 3))
+        self.assertThat(planes.finish(planes.put("m", 3)), Equals(503))
+        planes.seeds = (planes.machines["m"].ip, planes.machines["a"].ip)
+        planes.kill("m")
+        planes.join()
+        planes.start("m")
+        planes.run(SYNC)
+        self.assertThat(planes.voters("m"), Equals("abc"))
+        self.assertTrue(planes.settled())
+
+
+class TestSnapshots(testtools.TestCase):
+    """Point 4: one that comes back is at the newest by one exchange, and nothing grows with the number of changes."""
+
+    def test_500_changes_with_troubles_in_their_midst(self):
+        sizes, sent = {}, {}
+        planes = ControlPlanes("abc")
+        planes.run(SYNC)
+        troubles = ("lose_power", "wipe", "stalled", "full", "isolate")
+        hurt = None
+        for version in range(1, 501):
+            self.assertThat(planes.finish(planes.put("ab"[version % 2], version)), Equals(200), version)
+            if version % 50 == 20:
+                hurt = troubles[version // 50 % len(troubles)]
+                planes.disk("c", hurt) if hurt in ("stalled", "full") else getattr(planes, hurt)("c")
+            if version % 50 == 40:
+                self.come_back(planes, hurt)
+            if version in (10, 100, 500):
+                planes.run(SYNC + UNUSED)
+                before, began = planes.bytes_sent, planes.now
+                planes.run(10.0)
+                sent[version] = (planes.bytes_sent - before) / (planes.now - began)
+                areas = planes.machines["c"].areas
+                sizes[version] = len(areas), sum(map(len, areas.values()))
+        self.assertThat(sizes[500][0], Equals(2))  # the vote and one configuration
+        # Numbers of more digits take more bytes, and no more of them are kept.
+        self.assertThat(sizes[500][1], LessThan(sizes[100][1] * 1.25))
+        self.assertThat(sent[500], LessThan(sent[100] * 1.1))
+        self.assertThat(History(planes).check(), Equals([]))
+
+    def come_back(self, planes, hurt):
+        planes.join()
+        planes.disk("c", "well")
+        if planes.machines["c"].replica is None:
+            planes.start("c")
+        newest = planes.state("a").configuration
+        took = planes.run_until(
+            lambda: planes.state("c") is not None and planes.state("c").configuration == newest, SYNC
+        )
+        # A heartbeat each way, and the body.
+        self.assertThat(took, LessThan(2 * TICK + 6 * LINK + 2 * DISK + 0.02), hurt)
+        planes.run(SYNC)
+        self.assertThat(planes.voters("a"), Equals("abc"), hurt)
