--- a/fernyard/cluster/control_plane/contacts.py
+++ b/fernyard/cluster/control_plane/contacts.py
@@ -37,11 +37,15 @@
             del self.asks[number]
         return self.ask
 
+    def is_answer_within(self, now, seconds, life, ask):
+        """Was that ask of ours sent so few seconds ago? What answers it can't be older."""
+        return life == self.life and now - self.asks.get(ask, now - ASKS_KEPT) <= seconds
+
     def heard(self, now, heartbeat):
-        """False for one that was overtaken on its way by a later one of the same life."""
+        """False for one that was overtaken on its way by a later one of the same life: asks and accepted ballots only grow."""
         ip, known = heartbeat.member.ip, self.peers.get(heartbeat.member.ip)
         same_life = known is not None and known.heartbeat.life == heartbeat.life
-        if same_life and heartbeat.ask < known.heartbeat.ask:
+        if same_life and _order(heartbeat) < _order(known.heartbeat):
             return False
         asked_at = self.asks.get(heartbeat.answers) if heartbeat.answers_life == self.life else None
         if asked_at is None and same_life:
@@ -66,7 +70,8 @@
         return now - max(at, since)
 
     def confirmed_at(self, now, own, ballot, state):
-        """The latest moment as of which a majority held nothing newer than `ballot`, or None. `own`: our Vote, or None."""
+        """The latest moment as of which a majority held nothing newer than `ballot`, under which `state` was decided, or
+        None. `own`: our Vote, or None."""
         times = {}
         if own is not None and (own.accepted is None or own.accepted <= ballot):
             times[own.member] = now
@@ -77,7 +82,7 @@
         met = set()
         for member, at in sorted(times.items(), key=lambda item: -item[1]):
             met.add(member)
-            if state.has_quorum(met):
+            if state.has_quorum(met, state.epoch):
                 return at
         return None
 
@@ -87,3 +92,7 @@
         if own is not None and own.accepted == ballot:
             found.add(own.member)
         return found
+
+
+def _order(heartbeat):
+    return heartbeat.ask, heartbeat.accepted is not None, heartbeat.accepted
--- a/fernyard/cluster/control_plane/proposer.py
+++ b/fernyard/cluster/control_plane/proposer.py
@@ -19,11 +19,11 @@
 
 @attrs.define
 class Pending:
-    """A change that waits to be decided. `key` names it to whoever submitted it."""
+    """A change that waits to be decided, until `until` at most. `key` names it to whoever submitted it."""
 
     key: object
     change: object
-    since: float
+    until: float
 
 
 @attrs.define
@@ -65,29 +65,31 @@
         self.life, self.random = life, random
         self.highest, self.round, self.pending = 0, None, []
         self.pause, self.retry_at = PAUSE, 0.0
+        self.decided_epoch = 0  # the last change of members that is known to be decided
 
-    def submit(self, now, key, change):
+    def submit(self, now, key, change, patience=PATIENCE):
         """Adds a change; one with a key that waits already changes nothing. False where too many wait."""
         if any(pending.key == key for pending in self.pending):
             return True
         if len(self.pending) >= MOST_PENDING:
             return False
-        self.pending.append(Pending(key, change, now))
+        self.pending.append(Pending(key, change, now + patience))
         return True
 
-    def withdraw(self, key):
-        self.pending = [pending for pending in self.pending if pending.key != key]
-
     def heard_of(self, ballot):
         """Another's ballot: ours must be higher."""
         if ballot is not None:
             self.highest = max(self.highest, ballot.round)
 
-    def due(self, now, known):
-        """(members, message) pairs to send now. `known`: the newest (ballot, state) known here, or None."""
-        self.pending = [pending for pending in self.pending if now - pending.since < PATIENCE]
+    def expire(self, now):
+        """Gives up what is too old; to be called before anything that came is looked at, as the process may have stood
+        still meanwhile."""
+        self.pending = [pending for pending in self.pending if now < pending.until]
         if self.round is not None and now - self.round.at > ROUND:
             self._fail(now)
+
+    def due(self, now, known):
+        """(members, message) pairs to send now. `known`: the newest (ballot, state) known here, or None."""
         if self.round is not None:
             return self._resend(now)
         if not self.pending or now < self.retry_at or known is None:
@@ -115,7 +117,7 @@
         current.promises[message.member] = (message.accepted, message.state)
         before, current.known = current.known[1], self._newest(current)
         state = current.known[1]
-        if not state.has_quorum(current.promises):
+        if not state.has_quorum(current.promises, self.decided_epoch):
             # Where the members are others than we knew, theirs is the majority that counts, and they are asked as well.
             new = [member for member in state.electorate if member not in before.electorate]
             return [(new, Prepare(current.ballot))] if new else []
@@ -146,7 +148,8 @@
         if current is None or message.ballot != current.ballot or current.state is None:
             return None
         current.accepted.add(message.member)
-        if not (current.state.has_quorum(current.accepted) and current.known[1].has_quorum(current.accepted)):
+        states = current.state, current.known[1]
+        if not all(state.has_quorum(current.accepted, self.decided_epoch) for state in states):
             return None
         self.round, self.pause = None, PAUSE
         done = {outcome.key for outcome in current.outcomes}
--- a/fernyard/cluster/control_plane/replica.py
+++ b/fernyard/cluster/control_plane/replica.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ...accord.ballots import Acceptor, Granted, Refused, Request, StoreVote
+from ..common.lease import LENGTH, MARGIN
 from . import events as e, membership
 from .bodies import Bodies
 from .contacts import Contacts
@@ -28,12 +29,14 @@
     Refusal,
     ReplicaHeartbeat,
 )
-from .proposer import Decided, Proposer
+from .proposer import PATIENCE, Decided, Proposer
 from .state import (
+    NO_CONFIGURATION,
     BeginTerm,
     ConfigurationId,
     Confirm,
     ControlState,
+    FinishReplacement,
     Member,
     NumberTaken,
     SetConfiguration,
@@ -45,6 +48,10 @@
 SETTLE_AFTER, SETTLE_STEP = 0.3, 0.15  # seconds until an unfinished decision is finished; more for each rank
 CARRIER_WITHIN = 0.7  # seconds since the heartbeat of the holder of the lease
 CARRY_WAIT = 0.5  # seconds until a change that another carries is proposed here as well
+CARRIED_WITHIN = 2.0  # seconds; a change that was given to us longer ago is not carried any more
+CALLED_WITHIN = 1.0  # seconds that a caller waits at most: an older order is not begun any more
+LEASE_TOLD_WITHIN = LENGTH - MARGIN  # seconds for which holding the lease is believed after it was told
+STOOD_STILL, AWAKE = 1.0, 0.3  # seconds without a step, and until all that came meanwhile has been worked off
 ASK_AGAIN = 0.1  # seconds until an urgent heartbeat is sent again
 MOST_SEEDS = 12
 VOTE_AGAIN = 0.3  # after the disk refused the first vote
@@ -85,6 +92,7 @@
         """`life`: a number that no other run of any process has; `vote`: the Vote to begin with, from the disk or made for a
         first start (None: this machine keeps nothing); `bodies`: {ConfigurationId: bytes} of the disk."""
         self.settings, self.life, self.now, self.began = settings, life, now, now
+        self.stepped_at, self.woke_at = now, now - AWAKE
         self.random = Random(life)
         self.first_vote, self.first_vote_at = vote, now
         self.member = vote.member if vote is not None else Member(settings.ip, 0)
@@ -95,6 +103,7 @@
         self.decided, self.published, self.unsettled_at = None, None, None
         self.calls, self.orders, self.local = {}, [], deque()
         self.registry_mark = (0, 0)
+        self.lease_told_at = now
         self.lease_held, self.above, self.claim, self.carrying_since, self.leaving = False, 0, 0, now, False
         if vote is not None:
             self.proposer.heard_of(vote.promised)
@@ -103,7 +112,10 @@
     # What is asked of it ---------------------------------------------------------------------------------------------
 
     def step(self, now, event):
-        self.now, self.orders = now, []
+        if now - self.stepped_at > STOOD_STILL:
+            self.woke_at = now
+        self.now, self.stepped_at, self.orders = now, now, []
+        self.proposer.expire(now)
         HANDLERS[type(event)](self, event)
         self._follow_up()
         return self.orders
@@ -143,9 +155,14 @@
             return None
         return self.decided.state
 
+    @property
+    def leads(self):
+        """Is the lease held here, as was told of late? Whoever stood still holds it no more."""
+        return self.lease_held and self.now - self.lease_told_at < LEASE_TOLD_WITHIN
+
     def term(self):
         """The term under which this process acts for all, or None."""
-        if not self.lease_held or self.state is None or self.state.claim != self.claim:
+        if not self.leads or self.state is None or self.state.claim != self.claim:
             return None
         return self.state.term
 
@@ -163,6 +180,10 @@
             found.update(self.settings.seeds)
         return sorted(found - {self.settings.ip})
 
+    def may_ask_lease(self):
+        """Does nobody else that was heard of late hold the lease? Votes taken from its holder would only be split."""
+        return self.carrier() is None
+
     def add_seeds(self, ips):
         """More places where other replicas may be met."""
         seeds = tuple(dict.fromkeys((*ips, *self.settings.seeds)))
@@ -170,8 +191,10 @@
 
     def may_stop(self):
         """Is all handed over, or nobody there to take it?"""
-        if not self.is_voter and (self.state is None or not self.state.previous):
+        if self.state is None or self.member not in self.state.electorate:
             return True
+        if self.state.previous:
+            return False  # a majority of those that vote no more is still needed
         waiting = [
             peer for peer in self.contacts.fresh(self.now) if peer.heartbeat.votes and not peer.heartbeat.leaving
         ]
@@ -188,6 +211,11 @@
         self._call(event.ticket, SetConfiguration(event.id))
 
     def _evacuate(self, event):
+        """One that came while the process stood still may have been followed by a later one elsewhere: no clear answer.
+        Configurations have numbers and need no such care."""
+        if self.now - self.woke_at < AWAKE:
+            self.orders.append(e.Reply(event.ticket, 503))
+            return
         self._call(event.ticket, SetEvacuation(event.zone, event.on))
 
     def _call(self, ticket, change):
@@ -196,15 +224,21 @@
         if carrier is None:
             self._propose_call(ticket, call)
         else:
-            self._send(carrier, CarryChange(ticket, self.life, change))
+            heartbeat = self.contacts.peers[carrier].heartbeat
+            self._send(carrier, CarryChange(ticket, self.life, change, heartbeat.life, heartbeat.ask))
 
     def _propose_call(self, ticket, call):
         call.proposed = True
-        self.proposer.submit(self.now, ("own", ticket), call.change)
+        self._submit(("own", ticket), call.change)
+
+    def _submit(self, key, change):
+        """An evacuation that is taken late might undo a later one; a configuration has a number and can't."""
+        patience = CALLED_WITHIN if isinstance(change, SetEvacuation) else PATIENCE
+        self.proposer.submit(self.now, key, change, patience)
 
     def carrier(self):
         """The ip of another that holds the lease, whom changes are given to so that proposals don't meet; None: none."""
-        if self.lease_held:
+        if self.leads:
             return None
         carriers = [peer for peer in self.contacts.peers.values() if peer.heartbeat.carries]
         return next((peer.member.ip for peer in carriers if self.now - peer.at <= CARRIER_WITHIN), None)
@@ -217,8 +251,10 @@
             self.orders.append(e.Reply(event.ticket, 503))
 
     def _carry(self, ip, message):
+        if not self.contacts.is_answer_within(self.now, CARRIED_WITHIN, message.answers_life, message.answers):
+            return
         key = ("carried", ip, message.life, message.key)
-        self.proposer.submit(self.now, key, message.change)
+        self._submit(key, message.change)
 
     def _carried(self, ip, message):
         if message.life == self.life:
@@ -279,7 +315,9 @@
         first = self.first_vote
         if first is None or self.vote is not None or self.acceptor.storing is not None or self.now < self.first_vote_at:
             return
-        if first.state is None or self.bodies.is_stored(first.state.configuration):
+        # One that was lost since is fetched as any other: nobody might hold it any more.
+        id = first.state.configuration if first.state is not None else NO_CONFIGURATION
+        if self.bodies.is_stored(id) or self.bodies.content(id) is None:
             self._carry_out([self.acceptor.store(first)])
 
     # Deciding and learning -------------------------------------------------------------------------------------------
@@ -317,6 +355,7 @@
         if known is None or ballot > known.ballot:
             self.decided = Standing(ballot, state, as_of if as_of is not None else self.began - SERVED_WITHIN)
             self.proposer.heard_of(ballot)
+            self.proposer.decided_epoch = state.epoch
         elif ballot == known.ballot and as_of is not None:
             known.as_of = max(known.as_of, as_of)
 
@@ -334,7 +373,7 @@
         vote = self.vote
         if vote is None or vote.accepted is None or self.decided is not None and vote.accepted <= self.decided.ballot:
             return
-        if vote.state.has_quorum(self.contacts.accepted_by(vote.accepted, vote)):
+        if vote.state.has_quorum(self.contacts.accepted_by(vote.accepted, vote), self.proposer.decided_epoch):
             self._learn(vote.accepted, vote.state, None)
 
     def _settle(self):
@@ -364,7 +403,7 @@
         """Our place among those that vote, the holder of the lease first, so that not all propose at once."""
         known = self._newest_known()
         electorate = known[1].electorate
-        return 0 if self.lease_held or self.member not in electorate else 1 + electorate.index(self.member)
+        return 0 if self.leads or self.member not in electorate else 1 + electorate.index(self.member)
 
     def _newest_known(self):
         """(ballot, state) of the newest state known here, decided or only accepted by us; None: none."""
@@ -380,7 +419,7 @@
     def _lease(self, event):
         if event.held and not self.lease_held:
             self.claim, self.carrying_since = self.random.getrandbits(48) | 1, self.now
-        self.lease_held, self.above = event.held, event.above
+        self.lease_held, self.lease_told_at, self.above = event.held, self.now, event.above
         if not event.held or self.state is None:
             return
         if self.state.claim != self.claim:
@@ -398,6 +437,11 @@
             if change is not None:
                 self.proposer.submit(self.now, ("member",), change)
 
+    def _finish_replacement(self):
+        """At once, as until then a majority of those that vote no more is needed as well."""
+        if self.term() is not None and self.state.previous:
+            self.proposer.submit(self.now, ("member",), FinishReplacement(self.state.epoch))
+
     def _leave(self, _):
         self.leaving = True
         self._send_heartbeats()
@@ -429,7 +473,7 @@
             ready=decided is not None and self.bodies.is_stored(decided.state.configuration),
             votes=vote is not None,
             leaving=self.leaving,
-            carries=self.lease_held,
+            carries=self.leads,
             registry=self.registry_mark,
             urgent=urgent,
         )
@@ -441,6 +485,7 @@
         self._run_local()
         self._learn_from_disks()
         self._settle()
+        self._finish_replacement()
         self._send_to_members(self.proposer.due(self.now, self._newest_known()))
         self._run_local()
         self._keep_bodies()
@@ -497,6 +542,7 @@
         states = [self.state, self.vote.state if self.vote is not None else None]
         states += [self.first_vote.state if self.first_vote is not None and self.vote is None else None]
         states += [self.parked[1].state if self.parked is not None else None]
+        states += self.acceptor.values()
         named.update(state.configuration for state in states if state is not None)
         changes = [call.change for call in self.calls.values()] + [p.change for p in self.proposer.pending]
         named.update(change.id for change in changes if isinstance(change, SetConfiguration))
@@ -516,7 +562,7 @@
                 self._answer_read(ticket, call)
             elif isinstance(call.change, SetConfiguration) and self._is_decided(call.change.id):
                 self._answer(ticket, None)
-            elif not call.proposed and self.now - call.since >= CARRY_WAIT:
+            elif not call.proposed and CARRY_WAIT <= self.now - call.since < CALLED_WITHIN:
                 self._propose_call(ticket, call)
 
     def _is_decided(self, id):
