Longer answers to clients also while gateways are lost with a control plane

Cause: where a zone goes, control planes and gateways go together, and the rule of before kept answers at 1 s for 4 s after a gateway's last heartbeat.

Ruled out: answers that name dark gateways for longer: by 1.3 s of a control plane's silence the gateways lost with it are off the answers, but for those whose heartbeats come late, and while one of these may be lost answers stay short.

Change: 4 s once a control plane is silent for 1.3 s and no gateway is in doubt, whatever gateways went.

--- a/fernyard/cluster/control_plane/discovery.py
+++ b/fernyard/cluster/control_plane/discovery.py
@@ -13,8 +13,7 @@
 COLD_GUESS = 1.0  # added to a cold spell told, for the way of the news
 ADDRESSES, FEW = 64, 2  # addresses of an answer to clients, at most and at least
 TTL, LONG_TTL = 1.0, 4.0  # seconds that an answer to clients holds: usually, while a control plane is silent
-PEER_SILENT = 0.7  # seconds without a heartbeat from a control plane until answers to clients hold longer
-GATEWAY_LOST_LATELY = 4.0  # seconds after a gateway's last heartbeat in which answers to clients stay short
+PEER_SILENT = SILENT + 0.2  # seconds without a heartbeat from a control plane until answers to clients hold longer
 STRANGERS = 2.0  # seconds after a start in which only gateways heard are named, where any is
 REGISTRY_SAVE_PERIOD = 1.0  # between two times that the registry is kept on disk
 
@@ -108,15 +107,11 @@
 
     def ttl(self, now, peers_heard):
         """Seconds that an answer to a client holds. `peers_heard`: when each other control plane was last heard. One
-        without power costs each client that asks it a second, so clients are to ask less often while there is one; but
-        where gateways go too, old answers name dark ones, which costs as much."""
-        if all(now - at < PEER_SILENT for at in peers_heard):
-            return TTL
-        lost_lately = any(
-            now - seen.at < GATEWAY_LOST_LATELY and (seen.heartbeat.leaving or seen.silent(now))
-            for seen in self.seen.values()
-        )
-        return TTL if lost_lately else LONG_TTL
+        without power costs each client that asks it a second, so clients are to ask less often while there is one: once
+        the gateways that may have been lost with it are off the answers."""
+        doubtful = any(now - seen.at >= SILENT and not seen.silent(now) for seen in self.seen.values())
+        peer_silent = any(now - at >= PEER_SILENT for at in peers_heard)
+        return LONG_TTL if peer_silent and not doubtful else TTL
 
     def _gone(self, now, node):
         seen = self.seen.get(node)
