--- a/fernyard/cluster/control_plane/api.py
+++ b/fernyard/cluster/control_plane/api.py
@@ -7,7 +7,6 @@
 from ..common.messages import ConfigurationUpdate
 from . import configuration, events as e
 from .calls import find
-from .discovery import TTL
 from .messages import StoredBody, decode_body, encode
 
 log = Part("control-plane")
@@ -78,7 +77,8 @@
         found = process.discovery.resolve(now, zone, region, gateways)
         if found is None:
             return 503, b"", None
-        return 200, encode_json({"addrs": found, "ttlS": TTL}), JSON
+        ttl = process.discovery.ttl(now, process.replica.members_heard())
+        return 200, encode_json({"addrs": found, "ttlS": ttl}), JSON
 
     # Other processes of the system -----------------------------------------------------------------------------------
 
--- a/fernyard/cluster/control_plane/replica.py
+++ b/fernyard/cluster/control_plane/replica.py
@@ -184,6 +184,13 @@
         """Does nobody else that was heard of late hold the lease? Votes taken from its holder would only be split."""
         return self.carrier() is None
 
+    def members_heard(self):
+        """When each other member that has a vote was last heard, of those that ever were."""
+        if self.state is None:
+            return []
+        members = {member.ip for member in self.state.voters}
+        return [peer.at for peer in self.contacts.peers.values() if peer.member.ip in members]
+
     def add_seeds(self, ips):
         """More places where other replicas may be met."""
         seeds = tuple(dict.fromkeys((*ips, *self.settings.seeds)))
