--- a/fernyard/cluster/control_plane/api.py
+++ b/fernyard/cluster/control_plane/api.py
@@ -5,7 +5,7 @@
 from ..common.errors import ConfigurationError, NumberTakenError
 from ..common.logs import Part
 from ..common.messages import ConfigurationUpdate
-from . import configuration, events as e
+from . import events as e
 from .calls import find
 from .messages import StoredBody, decode_body, encode
 
@@ -36,6 +36,8 @@
     # Operators -------------------------------------------------------------------------------------------------------
 
     async def put_config(self, request, _):
+        from . import configuration  # see ControlPlane.do_publish
+
         body = await request.read()
         try:
             id, _ = configuration.read(body)
--- a/fernyard/cluster/control_plane/process.py
+++ b/fernyard/cluster/control_plane/process.py
@@ -15,7 +15,7 @@
 from ..common.registry import Registry
 from ..common.settings import read as read_settings
 from ..common.transport import Datagrams, serve
-from . import configuration, events as e
+from . import events as e
 from .api import Api
 from .discovery import REGISTRY_SAVE_PERIOD, Discovery
 from .messages import Received, ReplicaHeartbeat, StoredBody, decode, decode_body, encode
@@ -191,6 +191,9 @@
         replica = self.replica
         wanted = replica.state.configuration
         if wanted != NO_CONFIGURATION and (self.plan is None or self.plan.id != str(wanted)):
+            # Imported at its first use: the reader is a third of a start, and look-ups are answered before it is needed.
+            from . import configuration
+
             _, told = configuration.parse(replica.bodies.content(wanted))
             self.plan = configuration.plan_of(wanted, told)
         self.notify()
