--- a/fernyard/cluster/slopes.py
+++ b/fernyard/cluster/slopes.py
@@ -28,6 +28,17 @@
 from .common.registry import Registry
 from .control_plane import configuration
 from .control_plane.discovery import Discovery
+from .control_plane.messages import Accept, Decision, Received, ReplicaHeartbeat, encode as encode_message
+from .control_plane.replica import Replica, ReplicaSettings
+from .control_plane.state import (
+    REMEMBERED_NUMBERS,
+    Ballot,
+    ConfigurationId,
+    ControlState,
+    Member,
+    Vote,
+    ZoneOrder,
+)
 from .data_plane import events as t
 from .data_plane.quota import Ledger, Quota
 from .data_plane.router import RequestRouter
@@ -234,6 +245,37 @@
     }
 
 
+def of_control_state(voters, zones):
+    """One replica among `voters`, with an order about each of `zones`: what its messages take, and a heartbeat heard."""
+    members = tuple(Member(f"10.{number}.0.11", 1 << 47) for number in range(voters))
+    orders = tuple(ZoneOrder(f"zone-{number:02d}", 1, True) for number in range(zones))
+    id = ConfigurationId(12, 1 << 62)
+    state = ControlState(1000, id, (id,) * REMEMBERED_NUMBERS, orders, 3, members, (), 40, 1 << 47)
+    ballot = Ballot(9000, 1 << 47)
+    settings = ReplicaSettings("core-1", members[0].ip, True, (), voters // 2)
+    replica = Replica(0.0, settings, 1, Vote(members[0], ballot, ballot, state), {id: b"{}"})
+    beats = [_replica_heartbeat(member, ballot, number) for number, member in enumerate(members[1:])]
+    replica.step(0.0, Received(members[1].ip, Decision(ballot, state)))
+
+    def hear():
+        for beat in beats:
+            replica.step(0.0, Received(beat.member.ip, beat))
+
+    return {
+        "voters": voters,
+        "zones": zones,
+        "heartbeat_bytes": len(encode_message(beats[0])) if beats else 0,
+        "accept_bytes": len(encode_message(Accept(ballot, state))),
+        "heard_us": timed(hear, 50) / max(1, len(beats)),
+    }
+
+
+def _replica_heartbeat(member, ballot, number):
+    return ReplicaHeartbeat(
+        f"core-{number}", member, 1 << 47, 999, 1 << 47, 999, ballot, ballot, 1000, True, True, False, False, (40, 99)
+    )
+
+
 def main():
     """Prints one line of JSON for each part and size, with what one datagram of each kind takes."""
     replicas = [f"10.0.0.{number}" for number in range(3)]
@@ -246,7 +288,7 @@
         "10.1.0.13:8388",
         True,
         False,
-        (12, 1 << 47),
+        12,
         (3, 9),
     )
     sizes = {
@@ -267,3 +309,5 @@
         print(json.dumps({"counts": of_counts(tenants)}))
     for gateways in 9, 86, 640:
         print(json.dumps({"watch": of_watch(gateways)}))
+    for voters, zones in ((3, 0), (5, 9), (11, 79)):
+        print(json.dumps({"control_state": of_control_state(voters, zones)}))
