Both servers of clients' requests share one base

Cause: fernyard/clients/server.py and data_plane/listener.py wrote the same things twice: handler, 100-continue, reading of a body, refusals, the last answer on a connection. Change: fernyard/clients/serving.py, RequestServer; both derive from it. A test that what comes while a request is in hand is not read.

--- a/fernyard/clients/server.py
+++ b/fernyard/clients/server.py
@@ -5,15 +5,10 @@
 from dataclasses import dataclass
 
 import structlog
-
-# `aiohttp.web` would bring in all that applications use: a fifteenth of the start.
-from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
-from aiohttp.web_protocol import RequestPayloadError
-from aiohttp.web_request import BaseRequest
 from multidict import CIMultiDict
 
-from .connections import Connections, Written
 from .read import ID, Malformed, Reader, passed_on
+from .serving import NO_REQUEST, RequestServer
 
 log = structlog.get_logger(__name__)
 
@@ -42,17 +37,14 @@
     number: int
 
 
-class ClientServer:
+class ClientServer(RequestServer):
     def __init__(self, config, report, counts, routes=None, unmatched=None):
-        self.limits, self.report, self.counts = config.limits, report, counts
+        super().__init__(config.limits, report, counts)
         self.reader = Reader(config, routes, unmatched)
-        self.number, self.waiting, self.stopping = 0, {}, False
         self.ids = OrderedDict()  # of late, the open ones among them
-        self.connections = None
 
     async def listen(self, host, port):
-        self.connections = Connections(self._handle, self._request, self.limits, self.counts)
-        self.connections.listen(host, port)
+        self._open(host, port)
 
     def answer(self, number, status, body, headers, return_in):
         """Answers a req whole; a client that has gone is not answered."""
@@ -84,22 +76,8 @@
             await asyncio.sleep(0.01)
         await self.connections.shutdown(0)
 
-    def _request(self, message, payload, protocol, writer, task):
-        if message.method == "UNKNOWN":  # what the library makes of bytes that are no message
-            self.counts.add("malformed", "message")
-        return BaseRequest(
-            message, payload, protocol, writer, task, asyncio.get_running_loop(), client_max_size=self.limits.body
-        )
-
-    async def _handle(self, request):
-        try:
-            return await self._serve(request)
-        except (ConnectionError, asyncio.CancelledError):
-            raise
-        except Exception:
-            self.counts.add("faults")
-            log.exception("client_fault")
-            return self._response(500)
+    def _fault(self):
+        log.exception("client_fault")
 
     async def _serve(self, request):
         path, headers = request.raw_path, request.headers
@@ -109,22 +87,17 @@
             )
         try:
             *told, path = self.reader.read(request.method, path, headers)
-            if headers.get("Expect", "").lower() == "100-continue":
-                await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-                request.writer.output_size = 0
-            body = await request.read() if request.body_exists else b""
+            body = await self._body(request)
             self._note_id(headers[ID])
-        except Malformed as why:
-            return self._refused(str(why), why.status)
-        except (HTTPRequestEntityTooLarge, RequestPayloadError) as why:
-            return self._refused("body", getattr(why, "status", 400))
+        except NO_REQUEST as why:
+            return self._refused(why)
         self.number = number = self.number + 1
         waiting = self.waiting[number] = asyncio.get_running_loop().create_future()
         connection = request.protocol
         self.connections.begun(connection)
         self.report(Taken(number, request.method, path, passed_on(request.raw_headers), body, *told))
         try:
-            response = self._response(*await waiting, written=lambda: self.connections.ended(connection))
+            response = self._answer_of(*await waiting, lambda: self.connections.ended(connection))
         except asyncio.CancelledError:
             self.report(Gone(number))
             raise
@@ -142,18 +115,8 @@
         if len(self.ids) > self.limits.ids:
             self.ids.popitem(last=False)
 
-    def _refused(self, why, status):
-        """What is no req ends its connection: nothing behind it is read."""
-        self.counts.add("malformed", why)
-        response = self._response(status)
-        response.force_close()
-        return response
-
-    def _response(self, status, body=b"", headers=(), return_in=0, written=lambda: None):
+    def _answer_of(self, status, body, headers, return_in, written):
         told = CIMultiDict(passed_on(headers)) if headers else None
         if return_in:
             told = {"Retry-After": f"{return_in / 10_000:.4f}"}
-        response = Written(written, status=status, body=body, headers=told)
-        if self.stopping:
-            response.force_close()
-        return response
+        return self._response(status, body, told, written)
--- a/fernyard/cluster/data_plane/listener.py
+++ b/fernyard/cluster/data_plane/listener.py
@@ -4,14 +4,11 @@
 from dataclasses import replace
 
 import attrs
-from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
-from aiohttp.web_protocol import RequestPayloadError
-from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import StreamResponse
 from multidict import CIMultiDict
 
-from ...clients.connections import Connections, Written
 from ...clients.read import Malformed, check_framing, passed_on
+from ...clients.serving import NO_REQUEST, RequestServer
 from ..common.logs import Part
 from .events import Asked, Gone
 from .pacing import PIECE, SMALL
@@ -34,48 +31,30 @@
     tenant: str | None = None
 
 
-class ClientListener:
+class ClientListener(RequestServer):
     """Reads requests and writes answers; `report` hears `Asked` and `Gone`."""
 
     def __init__(self, limits, report, counts, pace):
         """`pace`: of large answers on their way out."""
-        self.limits, self.report, self.counts, self.pacer = limits, report, counts, pace
-        self.number, self.waiting, self.taken, self.stopping, self.connections = 0, {}, {}, False, None
+        super().__init__(limits, report, counts)
+        self.pacer, self.taken = pace, {}
 
     def listen(self, address):
-        self.connections = Connections(self._handle, self._request, self.limits, self.counts)
-        self.connections.listen(*address)
+        self._open(*address)
 
-    def _request(self, message, payload, protocol, writer, task):
-        return BaseRequest(
-            message, payload, protocol, writer, task, asyncio.get_running_loop(), client_max_size=self.limits.body
-        )
-
-    async def _handle(self, request):
-        try:
-            return await self._serve(request)
-        except (ConnectionError, asyncio.CancelledError):
-            raise
-        except Exception:
-            log.fault("A request broke its handler.")
-            return self._response(500)
+    def _fault(self):
+        log.fault("A request broke its handler.")
 
     async def _serve(self, request):
         headers, connection = request.headers, request.protocol
         id, told = headers.get(ID), headers.get(LEFT, "30000")
         host, path = headers.get("Host", ""), request.raw_path
-        if not id or not (told.isascii() and told.isdigit()):
-            return self._refused(400)
-        if not path.startswith("/") or not path.isascii() or "#" in path:
-            return self._refused(400)  # no path that goes on unchanged
         try:
+            self._check(id, told, path)
             check_framing(headers, ONCE)
-            if headers.get("Expect", "").lower() == "100-continue":
-                await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-                request.writer.output_size = 0
-            body = await request.read() if request.body_exists else b""
-        except (Malformed, HTTPRequestEntityTooLarge, RequestPayloadError) as why:
-            return self._refused(getattr(why, "status", 400))
+            body = await self._body(request)
+        except NO_REQUEST as why:
+            return self._refused(why)
         self.number = number = self.number + 1
         waiting = self.waiting[number] = asyncio.get_running_loop().create_future()
         self.taken[number] = Taken(id, request.method, host, path, passed_on(request.raw_headers), body)
@@ -96,6 +75,13 @@
             response.force_close()
         return response
 
+    @staticmethod
+    def _check(id, told, path):
+        if not id or not (told.isascii() and told.isdigit()):
+            raise Malformed(400, "figures")
+        if not path.startswith("/") or not path.isascii() or "#" in path:
+            raise Malformed(400, "path")  # it would not go on unchanged
+
     async def _in_pieces(self, request, status, body, headers):
         """A large answer, so that small ones come between its pieces on a narrow link."""
         loop, response = asyncio.get_running_loop(), StreamResponse(status=status, headers=headers)
@@ -129,17 +115,6 @@
     def relay(self, number, outcome):
         self.answer(number, outcome.status, outcome.body, CIMultiDict(passed_on(outcome.headers)))
 
-    def _refused(self, status):
-        response = self._response(status)
-        response.force_close()
-        return response
-
-    def _response(self, status, body=b"", headers=None, written=lambda: None):
-        response = Written(written, status=status, body=body, headers=headers)
-        if self.stopping:
-            response.force_close()
-        return response
-
     async def close(self, until):
         """No more connections; ends when all that was taken is written, or at `until` (the loop's time)."""
         loop = asyncio.get_running_loop()
--- a/tests/cluster/test_path.py
+++ b/tests/cluster/test_path.py
@@ -248,6 +248,28 @@
 
         self.assertThat(self.play(run), Equals(([(200, "id-0"), (0, None)], ["id-0"])))
 
+    def test_sent_while_one_is_in_hand_is_not_read(self):
+        """It ends its connection behind the answer that was waited for, and no worker hears of it."""
+
+        async def run(made):
+            report, held = made.plane.upstreams.report, []
+            made.plane.upstreams.report = held.append
+            reader, writer = await asyncio.open_connection("127.0.0.1", made.port)
+            writer.write(made.head("a", "/w/x"))
+            while not held:
+                await asyncio.sleep(0)
+            (connection,) = made.plane.listener.connections.connections
+            writer.write(made.head("b", "/w/x"))
+            while not connection.behind:
+                await asyncio.sleep(0)
+            made.plane.upstreams.report = report
+            report(held[0])
+            got = [(await read_answer(reader))[0] for _ in range(2)]
+            writer.close()
+            return got, [ran[0] for ran in made.workers[0].ran]
+
+        self.assertThat(self.play(run), Equals(([200, 0], ["a"])))
+
     def test_no_answer_after_the_client_went(self):
         """Its request's number, and perhaps its connection's, come again only for another: the answer is dropped."""
 
