--- a/fernyard/cluster/control_plane/bodies.py
+++ b/fernyard/cluster/control_plane/bodies.py
@@ -45,6 +45,11 @@
     def is_stored(self, id):
         return id == NO_CONFIGURATION or id in self.held and self.held[id].stored
 
+    def save_again(self, id):
+        """Its bytes were read from elsewhere on the disk, where they don't stay."""
+        if id in self.held:
+            self.held[id].stored = False
+
     def add(self, now, id, content):
         """Bytes came from an operator or another replica; those that do not fit their digest are dropped."""
         if id not in self.held and id.fits(content):
--- a/fernyard/cluster/control_plane/replica.py
+++ b/fernyard/cluster/control_plane/replica.py
@@ -105,6 +105,9 @@
         self.lease_told_at = now
         self.lease_held, self.above, self.claim, self.carrying_since, self.leaving = False, 0, 0, now, False
         if vote is not None:
+            if vote.state is not None and vote.accepted.round == 0:
+                # A state of an earlier version: the area that held its bytes is erased once the vote is stored.
+                self.bodies.save_again(vote.state.configuration)
             self.proposer.heard_of(vote.promised)
             self.proposer.heard_of(vote.accepted)
 
