--- a/fernyard/cluster/control_plane/messages.py
+++ b/fernyard/cluster/control_plane/messages.py
@@ -68,12 +68,6 @@
     state: ControlState
 
 
-class DecisionRequest(Message):
-    """What is decided? `known`: the ballot that the asker knows of."""
-
-    known: Ballot | None
-
-
 class CarryChange(Message):
     """Asks the one that carries the changes of all to have this one decided. `answers` is the last ask that was heard from
     it, in its life `answers_life`, so that it knows how old this is."""
@@ -109,16 +103,7 @@
 
 
 ConsensusMessage = (
-    ReplicaHeartbeat
-    | Prepare
-    | Promise
-    | Accept
-    | Accepted
-    | Refusal
-    | Decision
-    | DecisionRequest
-    | CarryChange
-    | CarryResult
+    ReplicaHeartbeat | Prepare | Promise | Accept | Accepted | Refusal | Decision | CarryChange | CarryResult
 )
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Datagram | ConsensusMessage).decode
--- a/fernyard/cluster/data_plane/workers.py
+++ b/fernyard/cluster/data_plane/workers.py
@@ -11,7 +11,7 @@
 AWAY, BEST, CHANCE = (0.0, 0.35, 2.5), 0.75, 0.02  # cost in usual times of tiers; the least without it; of chance
 HEAVY_AWAY = 4.0  # so many times that cost, for large answers
 FILL, QUEUE = 0.75, 2.0  # of the places: from where one more waits; most out, in places
-COLD_DESKS, COLD_PART = 3, 0.55  # gateways that send to a cold worker; of what it bears
+COLD_SENDERS, COLD_PART = 3, 0.55  # gateways that send to a cold worker; of what it bears
 COLD_MARGIN = 1.0  # seconds past the end of a spell that was told
 REMEMBERED, FEWEST_DRAWN = 200, 2
 
@@ -120,7 +120,7 @@
             return True
         if self.node not in self._senders(worker):
             return False
-        rate = COLD_PART * service.cold_rate / COLD_DESKS
+        rate = COLD_PART * service.cold_rate / COLD_SENDERS
         worker.credit = min(1.0, worker.credit + rate * (now - worker.credit_at))
         worker.credit_at = now
         return worker.credit >= 1.0
@@ -134,10 +134,10 @@
                 for node, gateway in self.gateways.items()
                 if gateway.region == worker.region and gateway.zone != worker.told.zone
             ]
-            named = rendezvous.few(worker.told.id, near, COLD_DESKS)
-            named += rendezvous.few(worker.told.id, region, COLD_DESKS - len(named))
+            named = rendezvous.few(worker.told.id, near, COLD_SENDERS)
+            named += rendezvous.few(worker.told.id, region, COLD_SENDERS - len(named))
             rest = [node for node in self.gateways if node not in named]
-            named += rendezvous.few(worker.told.id, rest, COLD_DESKS - len(named))
+            named += rendezvous.few(worker.told.id, rest, COLD_SENDERS - len(named))
             if len(self.senders) > REMEMBERED:
                 self.senders.clear()
             self.senders[worker.told.id] = named
--- a/tests/cluster/test_router.py
+++ b/tests/cluster/test_router.py
@@ -81,13 +81,13 @@
         (("w1", "s", "z1"), ("w2", "s", "z1"), ("w3", "s", "z3"), ("o1", "other", "z1"))
     )
 }
-DESKS = {"n1": GatewayAddress("n1", "ip1", "z1", "r1", "n1:80", True)}
+GATEWAYS = {"n1": GatewayAddress("n1", "ip1", "z1", "r1", "n1:80", True)}
 
 
 class Bench:
     """One router with news; `ask` gives a request, `end` tells how its last dispatch ended."""
 
-    def __init__(self, workers=WORKERS, gateways=DESKS, **told):
+    def __init__(self, workers=WORKERS, gateways=GATEWAYS, **told):
         self.now, self.number, self.orders = 10.0, 0, []
         self.router = RequestRouter(self.now, settings(), 1)
         self.tell(t.ConfigurationChanged(ConfigurationUpdate(1, plan(**told), [])))
