--- a/fernyard/cluster/control_plane/membership.py
+++ b/fernyard/cluster/control_plane/membership.py
@@ -5,7 +5,6 @@
 other, in two steps, one at a time.
 """
 
-from .contacts import FRESH
 from .state import ReplaceMember
 
 SILENT = 1.5  # seconds without a heartbeat after which a member is replaced, where one waits
@@ -18,7 +17,7 @@
     `since`: when we began to act; `leaving`: we are about to stop."""
     if state.previous:
         return None  # the one under way is finished first
-    spare = _spare(now, contacts, own, state, leaving)
+    spare = _spare(now, contacts, state)
     if spare is None:
         return None
     leaver = _leaver(now, contacts, own, state, since, leaving)
@@ -33,7 +32,7 @@
     return {own, *(peer.member for peer in contacts.fresh(now) if peer.heartbeat.votes)}
 
 
-def _spare(now, contacts, own, state, leaving):
+def _spare(now, contacts, state):
     """One that does not vote and holds what is decided on its disk; the one on a voter's machine first."""
     ready = [
         peer.member
@@ -59,7 +58,7 @@
     for voter in others:
         if voter.ip in present and present[voter.ip].heartbeat.leaving:
             return voter
-    silent = [voter for voter in others if contacts.silence(now, voter, since) > max(SILENT, FRESH)]
+    silent = [voter for voter in others if contacts.silence(now, voter, since) > SILENT]
     if silent:
         return max(silent, key=lambda voter: contacts.silence(now, voter, since))
     return own if leaving and own in state.voters else None
--- a/fernyard/cluster/control_plane/replica.py
+++ b/fernyard/cluster/control_plane/replica.py
@@ -475,7 +475,7 @@
         self._send_heartbeats()
 
     def _send_heartbeats(self, urgent=False):
-        self.ask = self.contacts.next_ask(self.now)
+        self.contacts.next_ask(self.now)
         for ip in self.ips():
             self._send(ip, self._heartbeat_to(ip, urgent))
 
--- a/tests/cluster/control_planes.py
+++ b/tests/cluster/control_planes.py
@@ -9,7 +9,7 @@
 
 from fernyard.cluster.common.lease import Granter, Holder
 from fernyard.cluster.control_plane import events as e
-from fernyard.cluster.control_plane.messages import CarryChange, CarryResult, Received, StoredBody, decode, encode
+from fernyard.cluster.control_plane.messages import Received, StoredBody, decode, encode
 from fernyard.cluster.control_plane.proposer import ROUND
 from fernyard.cluster.control_plane.recovery import recover
 from fernyard.cluster.control_plane.replica import (
@@ -508,6 +508,3 @@
             return answer.what[1].version
         digits = answer.body.decode()[1:].split(" ")[0].split("-")[0]
         return int("".join(c for c in digits if c.isdigit()))
-
-
-__all__ = ["CarryChange", "CarryResult", "ControlPlanes", "History"]
