Sight: a gateway counts clients that left by stage, and attempts that went on for nobody

Cause: nothing that a gateway logs or tells shows that a client left, at which stage, or what became of its attempts, so the hypotheses of the incident cannot be told apart. No decision changes.

--- a/fernyard/cluster/data_plane/process.py
+++ b/fernyard/cluster/data_plane/process.py
@@ -33,6 +33,7 @@
 from .events import ConfigurationChanged, CountAnswered, RegistryChanged, RouterEvent, Tick
 from .limits import ACCEPT_AFTER_STOP, BYTES_PER_MBIT, limits
 from .listener import ClientListener
+from .metrics import METRICS_PATH, METRICS_PORT, render
 from .pacing import Pacer
 from .router import RequestRouter
 from .subscription import Pull, Subscriber, Versions
@@ -88,6 +89,7 @@
         servers = [await serve(self._handle_internal, self.settings.internal)]
         if "ready" in self.settings.binds:
             servers.append(await serve(self._handle_ready, self.settings.binds["ready"]))
+        servers += await self._serve_metrics()
         self.listener.listen(self.settings.binds["front"])
         heartbeats = self.loop.create_task(self._send_heartbeats())
         log.info("Data plane is up.", node=self.settings.node)
@@ -99,7 +101,18 @@
         await self.workers.close()
         await self.updates.close()
         self.datagrams.close()
-        log.info("Data plane has stopped.", sent=self.router.forwarded, unserved=self.router.unserved)
+        self._log_end()
+
+    def _log_end(self) -> None:
+        metrics = self.router.metrics
+        log.info(
+            "Data plane has stopped.",
+            sent=metrics.forwarded,
+            unserved=metrics.unserved,
+            clients_gone=dict(metrics.clients_gone),
+            abandoned=dict(metrics.abandoned),
+            longest_abandoned=round(metrics.longest_abandoned, 3),
+        )
 
     async def _drain(self) -> None:
         """Clients are sent elsewhere; what still comes for a while is answered."""
@@ -281,6 +294,19 @@
         newer = plan if request.query.get("held") != plan.id else None
         return 200, encode(ConfigurationUpdate(self.router.revision, newer, self.router.evacuated)), None
 
+    async def _serve_metrics(self) -> list[asyncio.Server]:
+        """Where the operators read our counts; without it the gateway serves all the same."""
+        try:
+            return [await serve(self._handle_metrics, (self.settings.ip, METRICS_PORT))]
+        except OSError as error:
+            log.warning("The metrics cannot be served.", port=METRICS_PORT, why=str(error))
+            return []
+
+    async def _handle_metrics(self, request: BaseRequest) -> HttpAnswer:
+        if request.path != METRICS_PATH:
+            return 404, b"", None
+        return 200, render(self.router.metrics, len(self.workers.out)), {"Content-Type": "text/plain; version=0.0.4"}
+
     async def _handle_ready(self, request: BaseRequest) -> HttpAnswer:
         if request.path != "/-/readyz":
             return 404, b"", None
--- a/fernyard/cluster/data_plane/request.py
+++ b/fernyard/cluster/data_plane/request.py
@@ -40,7 +40,7 @@
     `routes`: the configuration under which it was taken; `tried`: workers that it was forwarded to; `unreachable`: workers to
     which no connection was had; `in_flight`: attempts by number; `may_have_run`: some worker may have run it; `failure`: the
     answer of a worker that failed it; `counted`: its unit was added to its tenant's count; `closed`: its client has its final
-    answer, or is gone.
+    answer, or is gone, since `closed_at`.
     """
 
     arrival: RequestArrived
@@ -59,6 +59,7 @@
     failure: Outcome | None = None
     counted: bool = False
     closed: bool = False
+    closed_at: float = 0.0
 
     @property
     def number(self) -> int:
--- a/fernyard/cluster/data_plane/router.py
+++ b/fernyard/cluster/data_plane/router.py
@@ -25,6 +25,7 @@
     RouterEvent,
     Tick,
 )
+from .metrics import ClientStage, RouterMetrics
 from .quota import QuotaClient
 from .request import Attempt, Path, Request, Wait
 from .retry_budget import RetryBudget
@@ -66,7 +67,7 @@
         self.requests: dict[int, Request] = {}
         self.quota = QuotaClient(settings.node, incarnation)
         self.endpoints = EndpointSelector(settings.node, settings.zone, settings.region, settings.zones, self.random)
-        self.forwarded = self.unserved = 0  # attempts, and answers that say so, since the start
+        self.metrics = RouterMetrics()
         self._commands: list[Command] = []
         self._timers = Timers()
         self._budgets: dict[str, RetryBudget] = {}  # by service
@@ -230,7 +231,7 @@
         request.tried.append(worker.id)
         request.in_flight[attempt] = Attempt(worker.id, self.now)
         self.endpoints.attempt_began(self.now, endpoint, request.service)
-        self.forwarded += 1
+        self.metrics.forwarded += 1
         tenant = request.tenant.name if request.tenant is not None else None
         timeout = max(0.001, request.deadline - self.now - ANSWER_MARGIN)
         self._execute(ForwardRequest(request.number, attempt, worker.id, worker.address, tenant, timeout))
@@ -305,7 +306,7 @@
     def _answer(self, request: Request, status: int, retry_after: float = 0.0) -> bool:
         """Answers the request; false, as it goes no further."""
         if not request.closed:
-            self.unserved += status in (502, 503, 504)
+            self.metrics.unserved += status in (502, 503, 504)
             self._execute(AnswerRequest(request.number, status, retry_after))
         self._close(request)
         return False
@@ -352,20 +353,25 @@
         attempt = request.in_flight.pop(outcome.dispatch)
         latency = self.now - attempt.began_at
         self.endpoints.attempt_ended(self.now, attempt.worker, request.route, outcome, latency)
-        if not request.closed:
+        if request.closed:
+            self.metrics.record_abandoned(outcome.end.value.replace(" ", "_"), self.now - request.closed_at)
+        else:
             self._resume(request, outcome, Wait.OUTCOME)
         if request.closed and not request.in_flight:
             self.requests.pop(request.number, None)
 
     def _close(self, request: Request) -> None:
-        request.closed = True
+        request.closed, request.closed_at = True, self.now
         if not request.in_flight:
             self.requests.pop(request.number, None)
 
     def _on_client_gone(self, event: ClientGone) -> None:
         request = self.requests.get(event.number)
-        if request is not None:
-            self._close(request)
+        if request is None or request.closed:
+            self.metrics.record_client_gone(ClientStage.ANSWERED)
+            return
+        self.metrics.record_client_gone(ClientStage.ADMISSION if request.wait is Wait.COUNT else ClientStage.ATTEMPT)
+        self._close(request)
 
     def _on_count_answered(self, total: Total) -> None:
         pending = self.quota.match(self.now, total)
