--- a/tests/cluster/gateway.py
+++ b/tests/cluster/gateway.py
@@ -53,7 +53,7 @@
     async def _serve(self, reader, writer):
         self.connections += 1
         self.writers.append(writer)
-        writer.number = self.connections
+        writer.number, writer.reader = self.connections, reader
         try:
             while True:
                 lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
@@ -71,7 +71,8 @@
 class Gateway:
     """`ask` sends one request on a connection of its own or on a kept one."""
 
-    def __init__(self, workers):
+    def __init__(self, workers, limits):
+        self.limits = limits
         told = settings.parse({**SETTINGS_FIELDS, "caps": {"linkMbps": 1000.0, "maxFds": 1000}, "zones": {"z": "r"}})
         self.plane, self.port, self.workers, self.number = DataPlane(told), free_port(), workers, 0
 
@@ -80,7 +81,7 @@
 
     def start(self):
         # Without a rest after each answer: else whether a connection is used again goes by time.
-        self.plane.workers.limits = replace(self.plane.limits, worker_rest=0.0)
+        self.plane.workers.limits = replace(self.plane.limits, worker_rest=0.0, **self.limits)
         self.plane.workers.start()
         self.plane.listener.listen((HOST, self.port))
         hosts = {"h.example": [route("read", "/r/"), route("write", "/w/", "mutating")]}
@@ -117,10 +118,10 @@
 
 
 @asynccontextmanager
-async def gateway(*scripts):
-    """A gateway that serves, with a worker for each script."""
+async def gateway(*scripts, **limits):
+    """A gateway that serves, with a worker for each script; `limits`: those of connections to workers that differ."""
     workers = [await StandInWorker(script).open() for script in scripts]
-    made = Gateway(workers)
+    made = Gateway(workers, limits)
     made.start()
     try:
         yield made
