Attempts end with the client of a request that may be repeated; what may not be repeated is left to its end

The router closed a request whose client left, or that a hedged attempt had answered, and let its other attempts run to their own end. Beside it: a client that had sent anything behind its request was not seen leaving, since its socket was no longer read; a client that was gone before its request was looked at had it forwarded; a connection that is closed still writes what is buffered. Change: closing a request orders CancelAttempt for what is in flight, in one place. The connection is reset, so nothing more of the request is written. What may not be repeated is given up only while no byte was written, goes on otherwise, and a shutdown waits for it. Bytes behind a request in hand are read off and dropped, 1 MiB at most. A unit of a request that surely never ran goes back, also when its client left while the counter was asked. An attempt that was given up shows its worker to be at least that slow, and is no failure.

--- a/fernyard/clients/connections.py
+++ b/fernyard/clients/connections.py
@@ -12,6 +12,7 @@
 
 from ..sockets import bound, unread
 
+MOST_DROPPED = 1 << 20  # bytes that a client may send behind a request in hand before nothing more is read
 AT_ONCE = 16  # taken in between two looks at what else is to be done
 LOOKED_AT = 8  # for one to close
 NEVER = 10.0**6  # the library's own timer; ours bounds more
@@ -19,7 +20,7 @@
 
 
 class Connection(RequestHandler):
-    """One connection of a client. `busy`: a req is in hand; `behind`: more came while it was; `since`: when
+    """One connection of a client. `busy`: a req is in hand; `behind`: bytes that came while it was; `since`: when
     it came, was last used, or began to send what is no whole req yet."""
 
     __slots__ = ("busy", "behind", "since")
@@ -28,9 +29,11 @@
         if not self.busy:
             self._manager.reading(self)
             return super().data_received(data)
-        # Clients send one req at a time: what comes behind it is not read, and its connection ends.
-        self.behind = True
-        self.transport.pause_reading()
+        # Clients send one req at a time: what comes behind it is dropped, and its connection ends. It is taken off the socket
+        # all the same, since the client's leaving stands behind it.
+        self.behind += len(data)
+        if self.behind > MOST_DROPPED:
+            self.transport.pause_reading()
 
     def silent(self):
         """Nothing was sent that is not read yet, and no request was read that is still to be served."""
@@ -163,7 +166,7 @@
         self.sweeper = self.loop.call_later(self.limits.sweep, self._sweep)
 
     def connection_made(self, connection, transport):
-        connection.busy = connection.behind = False
+        connection.busy, connection.behind = False, 0
         super().connection_made(connection, transport)
         self._put(connection, self.fresh)
 
--- a/fernyard/cluster/data_plane/commands.py
+++ b/fernyard/cluster/data_plane/commands.py
@@ -18,6 +18,14 @@
     timeout: float
 
 
+class CancelAttempt(msgspec.Struct, frozen=True):
+    """Give an attempt up and end its connection, as nobody waits for it. `only_unsent`: only while no byte of it was written."""
+
+    number: int
+    attempt: int
+    only_unsent: bool
+
+
 class AnswerRequest(msgspec.Struct, frozen=True):
     """Answer a request ourselves. `retry_after`: 0 for none."""
 
@@ -40,4 +48,4 @@
     count: Count
 
 
-Command = ForwardRequest | AnswerRequest | RelayAnswer | SendCount
+Command = ForwardRequest | CancelAttempt | AnswerRequest | RelayAnswer | SendCount
--- a/fernyard/cluster/data_plane/endpoints.py
+++ b/fernyard/cluster/data_plane/endpoints.py
@@ -235,7 +235,9 @@
             endpoint.is_wrong = True
         elif outcome.end is End.PASSED:
             self._record_success(now, endpoint, route, latency)
-        elif outcome.end not in (End.CANCELLED, End.UNSENT):
+        elif outcome.end is End.CANCELLED:
+            self._record_cancelled(now, endpoint, route, outcome, latency)
+        elif outcome.end is not End.UNSENT:
             _record_failure(now, endpoint, outcome)
 
     def _record_success(self, now: float, endpoint: Endpoint, route: Route, latency: float) -> None:
@@ -244,6 +246,12 @@
         self._latency.setdefault(route.name, Mean(LATENCY_TAU, now, usual, 2.0)).add(now, latency)
         endpoint.failures = 0
 
+    def _record_cancelled(self, now: float, endpoint: Endpoint, route: Route, outcome: Outcome, latency: float) -> None:
+        """Given up before its end: all that it shows is that an answer takes longer than that."""
+        slowness = min(MAX_SLOWNESS, latency / max(self.usual_latency(now, route), 0.001))
+        if outcome.sent and slowness > endpoint.slowness.read(now):
+            endpoint.slowness.add(now, slowness)
+
     def attempt_overdue(self, now: float, id: str) -> None:
         """A request is in flight there for far longer than usual."""
         endpoint = self.endpoints.get(id)
--- a/fernyard/cluster/data_plane/listener.py
+++ b/fernyard/cluster/data_plane/listener.py
@@ -14,6 +14,7 @@
 from ...clients.serving import NO_REQUEST, RequestServer
 from ...log import Counts
 from ...settings.limits import Limits
+from ...sockets import ended_by_peer
 from ...workers import Outcome
 from ..common.logs import ComponentLogger
 from ..common.messages import Plan
@@ -74,8 +75,11 @@
         except NO_REQUEST as error:
             refusal: StreamResponse = self._refused(error)
             return refusal
-        answer = await self._answer_of(request, client_request)
         connection: Any = request.protocol
+        if connection.transport is None or ended_by_peer(connection.transport):
+            connection.drop()
+            await asyncio.get_running_loop().create_future()  # its end cancels this handler
+        answer = await self._answer_of(request, client_request)
         if self.pacer.rate and len(answer.body) > SMALL_ANSWER:
             return await self._write_paced(request, answer)
         response: StreamResponse = self._response(
--- a/fernyard/cluster/data_plane/process.py
+++ b/fernyard/cluster/data_plane/process.py
@@ -28,7 +28,7 @@
 )
 from ..common.settings import Settings, read as read_settings
 from ..common.transport import Address, Datagrams, HttpAnswer, serve
-from .commands import AnswerRequest, Command, ForwardRequest, RelayAnswer, SendCount
+from .commands import AnswerRequest, CancelAttempt, Command, ForwardRequest, RelayAnswer, SendCount
 from .counter import CounterTable
 from .events import ConfigurationChanged, CountAnswered, RegistryChanged, RouterEvent, Tick
 from .limits import ACCEPT_AFTER_STOP, BYTES_PER_MBIT, limits
@@ -122,6 +122,7 @@
         log.info("Data plane is shutting down.")
         await asyncio.sleep(min(ACCEPT_AFTER_STOP, max(0.0, until - self.now() - LAST_ACCEPTS)))
         await self.listener.close(until)
+        await self.workers.finish(until)  # what may not be repeated goes on without its client
 
     def _reload(self) -> None:
         """SIGHUP: reads the settings again; a bad file changes nothing."""
@@ -157,6 +158,8 @@
         match command:
             case ForwardRequest():
                 self._forward(command)
+            case CancelAttempt():
+                self.workers.cancel(command.number, command.attempt, command.only_unsent)
             case RelayAnswer():
                 self.listener.relay(command.number, command.outcome)
             case AnswerRequest():
--- a/fernyard/cluster/data_plane/router.py
+++ b/fernyard/cluster/data_plane/router.py
@@ -14,7 +14,7 @@
 from ..common.messages import ConfigurationUpdate, RegistryUpdate, Tenant, Total
 from ..common.registry import Registry
 from ..common.settings import Settings
-from .commands import AnswerRequest, Command, ForwardRequest, RelayAnswer, SendCount
+from .commands import AnswerRequest, CancelAttempt, Command, ForwardRequest, RelayAnswer, SendCount
 from .endpoints import Endpoint, EndpointSelector
 from .events import (
     ClientGone,
@@ -301,6 +301,7 @@
     def _relay(self, request: Request, outcome: Outcome) -> None:
         if not request.closed:
             self._execute(RelayAnswer(request.number, outcome))
+        request.may_have_run = True
         self._close(request)
 
     def _answer(self, request: Request, status: int, retry_after: float = 0.0) -> bool:
@@ -314,14 +315,19 @@
     def _give_up(self, request: Request) -> None:
         """Answered at once. What surely never ran may be sent again by the client; a failure of the worker's own is relayed."""
         if not request.may_have_run and not request.in_flight:
-            if request.counted and request.tenant is not None:
-                self.quota.give_back(self.now, request.tenant)
+            self._give_back_unit(request)
             self._answer(request, 503, RETRY_AFTER_TRIED if request.tried else RETRY_AFTER)
         elif request.failure is not None and request.failure.status not in PROMISES:
             self._relay(request, request.failure)
         else:
             self._answer(request, 504 if self.now >= request.deadline - 2 * ANSWER_MARGIN else 502)
 
+    def _give_back_unit(self, request: Request) -> None:
+        """A request that was admitted surely never ran, and none of its attempts is under way: its tenant gets its unit back."""
+        if request.counted and request.tenant is not None:
+            request.counted = False
+            self.quota.give_back(self.now, request.tenant)
+
     def _execute(self, command: Command) -> None:
         self._commands.append(command)
 
@@ -354,14 +360,26 @@
         latency = self.now - attempt.began_at
         self.endpoints.attempt_ended(self.now, attempt.worker, request.route, outcome, latency)
         if request.closed:
-            self.metrics.record_abandoned(outcome.end.value.replace(" ", "_"), self.now - request.closed_at)
+            self._on_abandoned_outcome(request, outcome)
         else:
             self._resume(request, outcome, Wait.OUTCOME)
         if request.closed and not request.in_flight:
             self.requests.pop(request.number, None)
 
+    def _on_abandoned_outcome(self, request: Request, outcome: Outcome) -> None:
+        """An attempt ended after its client left, or after another attempt was answered."""
+        self.metrics.record_abandoned(outcome.end.value.replace(" ", "_"), self.now - request.closed_at)
+        request.may_have_run = request.may_have_run or not surely_never_ran(outcome)
+        if not request.in_flight and not request.may_have_run:
+            self._give_back_unit(request)
+
     def _close(self, request: Request) -> None:
+        """Nobody waits for it any more. Attempts that may be repeated end with it: a worker is not kept at work for nobody. One
+        that may not is left to its end once it may have reached its worker: cut off, its effect would be as good as lost."""
         request.closed, request.closed_at = True, self.now
+        for attempt in request.in_flight:
+            assert request.route is not None
+            self._execute(CancelAttempt(request.number, attempt, request.route.kind not in REPEATABLE))
         if not request.in_flight:
             self.requests.pop(request.number, None)
 
@@ -375,8 +393,18 @@
 
     def _on_count_answered(self, total: Total) -> None:
         pending = self.quota.match(self.now, total)
-        if pending is not None:
-            self._resume(pending.request, total, Wait.COUNT)
+        if pending is None:
+            return
+        if pending.request.closed and pending.request.wait is Wait.COUNT:
+            self._on_count_of_gone(pending.request, total)
+        self._resume(pending.request, total, Wait.COUNT)
+
+    def _on_count_of_gone(self, request: Request, total: Total) -> None:
+        """Its client left while the counter was asked. What fits was counted there, and goes back."""
+        tenant = request.tenant
+        if tenant is not None and self.quota.fits(self.now, tenant, total):
+            self.quota.admitted(self.now, tenant, True)
+            self.quota.give_back(self.now, tenant)
 
     def _on_configuration_changed(self, update: ConfigurationUpdate) -> None:
         """Never back to an older revision within one incarnation."""
--- a/fernyard/cluster/data_plane/worker_connections.py
+++ b/fernyard/cluster/data_plane/worker_connections.py
@@ -18,6 +18,7 @@
 NOT_RUN_STATUSES = frozenset((400, 429, 503))  # that say with `Not-Run` that the request has not run
 NO_BODY_STATUSES = frozenset((204, 304))
 HEADERS_OF_OURS = ("Deadline-Ms", "Key", "Tenant", "Want-Worker", "Keep-Alive", "Connection")  # not passed on
+FINISH_POLL = 0.02  # seconds between looks at the attempts under way
 DEADLINE_MARGIN = 0.015  # seconds that we wait beyond what a worker is told
 
 
@@ -31,6 +32,24 @@
         super().__init__(limits, report)
         self.pacer = pacer
 
+    def cancel(self, number: int, attempt: int, only_unsent: bool) -> None:
+        """Gives an attempt up and resets its connection, so that nothing of it is written any more. `only_unsent`: not if a
+        connection was had, as bytes may be out then."""
+        out = self.out.get((number, attempt))
+        if out is None:
+            return
+        progress = out[-1]
+        if only_unsent and progress.sent:
+            return
+        self.give_up(number, attempt)
+        progress.abort()
+
+    async def finish(self, until: float) -> None:
+        """Ends when no attempt is under way, or at `until` (the loop's time)."""
+        loop = asyncio.get_running_loop()
+        while self.out and loop.time() < until:
+            await asyncio.sleep(FINISH_POLL)
+
     async def _body(self, answer: ClientResponse) -> bytes | None:
         """A large one is read no faster than its fraction of a narrow link: what is not read holds its worker up."""
         length = answer.content_length or 0
--- a/fernyard/workers/connections.py
+++ b/fernyard/workers/connections.py
@@ -28,12 +28,18 @@
 
 
 class Attempt:
-    """What is known of one request on its way to a worker. `sent`: a connection was had, so bytes may be out."""
+    """What is known of one request on its way to a worker. `sent`: a connection was had, so bytes may be out; `connection`:
+    that connection."""
 
-    __slots__ = ("sent",)
+    __slots__ = ("connection", "sent")
 
     def __init__(self):
-        self.sent = False
+        self.sent, self.connection = False, None
+
+    def abort(self):
+        """Resets its connection, if it has one: what is not written yet is dropped, where closing would write it first."""
+        if self.connection is not None:
+            self.connection.abort()
 
 
 attempt = ContextVar("attempt", default=None)  # of the task that asks for a connection
@@ -263,5 +269,5 @@
             connection.close()
         protocol.ids.append(id)
         if (asking := attempt.get()) is not None:
-            asking.sent = True
+            asking.sent, asking.connection = True, protocol
         return connection
