--- a/tests/cluster/test_client_gone.py
+++ b/tests/cluster/test_client_gone.py
@@ -204,6 +204,18 @@
         return made.plane.router.metrics.forwarded, [worker.requests for worker in made.workers]
 
 
+async def leaves_before_it_is_complete():
+    """Half of its body is there; the rest never comes."""
+    held = HeldWorker()
+    async with gateway(held) as made:
+        reader, writer = await asyncio.open_connection(HOST, made.port)
+        writer.write(made.head("a", "/r/x", body=b"whole")[:-2])
+        await until(lambda: made.plane.listener.connections.partial)
+        writer.transport.abort()
+        await until(lambda: not made.plane.listener.connections.open)
+        return made.plane.router.metrics.forwarded, made.plane.listener.number
+
+
 async def leaves_during_its_upload():
     slow = SlowReader()
     server = await asyncio.start_server(slow.serve, HOST, 0)
@@ -264,6 +276,9 @@
     def test_before_its_request_was_read(self):
         self.assertThat(asyncio.run(leaves_before_it_is_read()), Equals((0, [[]])))
 
+    def test_before_its_request_is_complete(self):
+        self.assertThat(asyncio.run(leaves_before_it_is_complete()), Equals((0, 0)))
+
     def test_during_its_upload(self):
         """What was not written yet is dropped: the worker never gets the complete request."""
         self.assertTrue(asyncio.run(leaves_during_its_upload()))
