Laboratory: a soak of the whole system on its real processes

Cause: a fault that needed clients that leave, a row of restarts and rejected configurations together was in none of our tests, which play one trouble at a time.

--- a/fernyard/lab/cli.py
+++ b/fernyard/lab/cli.py
@@ -11,6 +11,7 @@
 from . import report as reports, trouble as troubles
 from .runner import Lab, verdict_line
 from .scenario import BadScenario, load_scenario, shipped, single
+from .soak.cli import soak
 from .virtual import VirtualLab
 
 EMULATED = click.option(
@@ -175,6 +176,9 @@
             click.echo("| " + " | ".join(row) + " |")
 
 
+lab.add_command(soak)
+
+
 @lab.command("route-speed")
 @click.option("--number", type=click.IntRange(100, 1_000_000), default=20_000, show_default=True, help="Reqs matched.")
 def route_speed(number):
