--- a/fernyard/lab/cli.py
+++ b/fernyard/lab/cli.py
@@ -11,6 +11,7 @@
 from . import report as reports, trouble as troubles
 from .runner import Lab, verdict_line
 from .scenario import BadScenario, load_scenario, shipped, single
+from .soak import report as soak_reports
 from .soak.cli import soak
 from .virtual import VirtualLab
 
@@ -102,12 +103,24 @@
     if len(results) > 4:
         raise click.UsageError("at most four results side by side")
     told = [reports.read(path) for path in results]
+    if any("soak" in result for result in told):
+        return _report_soaks(told, picture)
     click.echo(reports.table(told))
     if picture:
         reports.plot(told, picture)
         click.echo(f"plots in {picture}")
 
 
+def _report_soaks(told, picture):
+    """Results of `lab soak run --out`: a table by check, and a picture of the first."""
+    if not all("soak" in result for result in told):
+        raise click.UsageError("results of soaks and of scenarios don't stand side by side: give one kind")
+    click.echo(soak_reports.table(told))
+    if picture:
+        soak_reports.plot(told[0], picture)
+        click.echo(f"the first run in {picture}")
+
+
 @lab.command()
 @click.argument("scenario")
 @click.option("--seeds", default="1-5", show_default=True, help="Seeds to play, as FIRST-LAST.")
--- a/fernyard/lab/soak/cli.py
+++ b/fernyard/lab/soak/cli.py
@@ -9,9 +9,9 @@
 import click
 
 from . import report
-from .description import BadSoak, SoakDescription, load, shipped
+from .description import SoakDescription, SoakDescriptionError, load, shipped
 from .mutants import MUTANTS
-from .runner import Result, SoakFailed, play
+from .runner import Result, SoakFailedError, play
 from .schedule import Schedule, Trouble, from_json, make
 
 FILE = click.argument("file")
@@ -28,7 +28,7 @@
 def _load(file: str, seconds: float | None = None) -> SoakDescription:
     try:
         description = load(file)
-    except BadSoak as error:
+    except SoakDescriptionError as error:
         raise click.UsageError(str(error)) from None
     return description.model_copy(update={"seconds": seconds}) if seconds else description
 
@@ -37,7 +37,7 @@
     folder = Path(keep) / f"soak-{description.name}-{schedule.seed}-{schedule.digest()}"
     try:
         return asyncio.run(play(description, schedule, folder, mutant))
-    except (SoakFailed, BadSoak) as error:
+    except (SoakFailedError, SoakDescriptionError) as error:
         raise click.ClickException(str(error)) from None
 
 
--- a/fernyard/lab/soak/clients.py
+++ b/fernyard/lab/soak/clients.py
@@ -25,7 +25,7 @@
 BODY = b"what is asked, with a body of its own\n" * 8
 
 
-class BrokenOff(Exception):
+class BrokenOffError(Exception):
     """A connection ended without a complete answer."""
 
 
@@ -53,7 +53,7 @@
 
 
 async def read_answer(reader: asyncio.StreamReader) -> Answer:
-    """Raises BrokenOff where the connection ends before the answer does."""
+    """Raises BrokenOffError where the connection ends before the answer does."""
     try:
         lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
         headers = {
@@ -62,7 +62,7 @@
         body = await reader.readexactly(int(headers.get("content-length", "0")))
         return Answer(int(lines[0].split()[1]), headers, body)
     except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError, IndexError) as error:
-        raise BrokenOff(str(error)) from error
+        raise BrokenOffError(str(error)) from error
 
 
 class Client:
@@ -88,7 +88,7 @@
             try:
                 answer = await asyncio.wait_for(self._ask(control.ip, zone), RESOLVE_LIMIT)
                 told = json.loads(answer.body) if answer.status == 200 else {}
-            except (OSError, TimeoutError, BrokenOff, ValueError):
+            except (OSError, TimeoutError, BrokenOffError, ValueError):
                 continue
             if told.get("addrs"):
                 self.gateways = [address.rpartition(":")[0] for address in told["addrs"]]
@@ -130,7 +130,7 @@
                 made = await self._try(arrival, connection, deadline, leaves, number > 0)
                 if not self._may_try_again(arrival, made):
                     return
-                pause = max(pause, getattr(made, "pause", 0.0))
+                pause = max(pause, made.retry_after)
             if self.now() + pause >= deadline:
                 return
             await asyncio.sleep(pause)
@@ -155,7 +155,7 @@
         except TimeoutError:
             self._finish(made, Ending.SILENT, connection)
             made.left_at = made.ended_at
-        except (BrokenOff, OSError):
+        except (BrokenOffError, OSError):
             self._finish(made, Ending.CLOSED, connection)
         return made
 
@@ -164,24 +164,31 @@
         if leaves == INCOMPLETE:
             connection.writer.write(data[:-5])
             await asyncio.sleep(arrival.after / 4)
-            return self._leave(made, connection)
+            self._leave(made, connection)
+            return
         connection.writer.write(data)
         await connection.writer.drain()
         made.written_at = self.now()
-        if leaves == SENT:
-            answering = asyncio.ensure_future(read_answer(connection.reader))
-            done, _ = await asyncio.wait((answering,), timeout=arrival.after)
-            if not done:
-                answering.cancel()
-                return self._leave(made, connection)
-            answer = answering.result()
-        elif leaves == IN_ANSWER:
-            if not await connection.reader.read(32):
-                raise BrokenOff
-            return self._leave(made, connection)
+        answer = await self._await_answer(connection, leaves, arrival.after)
+        if answer is None:
+            self._leave(made, connection)
         else:
-            answer = await read_answer(connection.reader)
-        self._take(made, connection, answer)
+            self._take(made, connection, answer)
+
+    async def _await_answer(self, connection: Connection, leaves: str, patience: float) -> Answer | None:
+        """None where the client leaves before it has the complete answer."""
+        if leaves == IN_ANSWER:
+            if not await connection.reader.read(32):
+                raise BrokenOffError("ended before the answer")
+            return None
+        if leaves != SENT:
+            return await read_answer(connection.reader)
+        answering = asyncio.ensure_future(read_answer(connection.reader))
+        done, _ = await asyncio.wait((answering,), timeout=patience)
+        if done:
+            return answering.result()
+        answering.cancel()
+        return None
 
     def _request(self, arrival: Arrival, made: Try) -> bytes:
         body = BODY if arrival.kind == "write" else b""
@@ -205,6 +212,7 @@
     def _take(self, made: Try, connection: Connection, answer: Answer) -> None:
         made.ending, made.ended_at, made.status = Ending.ANSWERED, self.now(), answer.status
         made.wrong = wrong_with(made, answer)
+        made.retry_after = min(float(answer.headers.get("retry-after", "0")), (made.deadline_at - self.now()) / 3)
         if answer.headers.get("connection", "").lower() == "close" or len(self.kept) >= KEPT:
             connection.end()
         else:
--- a/fernyard/lab/soak/description.py
+++ b/fernyard/lab/soak/description.py
@@ -25,7 +25,7 @@
 MEMORY_FRACTION = 0.5  # of the machine's, that a run may use
 
 
-class BadSoak(ValueError):
+class SoakDescriptionError(ValueError):
     """A run that cannot be played: the message names the file, the field, and what to do."""
 
 
@@ -83,18 +83,20 @@
 
 
 def load(path: str) -> SoakDescription:
-    """A file, or the name of a shipped run. Raises BadSoak."""
+    """A file, or the name of a shipped run. Raises SoakDescriptionError."""
     file = Path(path) if Path(path).exists() else SHIPPED / f"{path}.toml"
     try:
         description = SoakDescription.model_validate(tomllib.loads(file.read_text(encoding="utf-8")))
     except OSError as error:
-        raise BadSoak(f"{path}: {error.strerror}; name a file, or one of {', '.join(shipped())}") from error
+        raise SoakDescriptionError(
+            f"{path}: {error.strerror}; name a file, or one of {', '.join(shipped())}"
+        ) from error
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise BadSoak(f"{path}: {error}") from error
+        raise SoakDescriptionError(f"{path}: {error}") from error
     except ValidationError as error:
         first = error.errors()[0]
         field = ".".join(str(part) for part in first["loc"])
-        raise BadSoak(
+        raise SoakDescriptionError(
             f"{path}: {field}: {first['msg']}; mend the field, or leave the file out for a shipped run"
         ) from error
     check_size(description, memory_mb(), PROCESS_MB)
@@ -107,12 +109,14 @@
 
 
 def check_size(description: SoakDescription, available_mb: float, process_mb: float) -> None:
-    """Raises BadSoak where the run would need more processes or memory than one may use. `process_mb`: of one process."""
+    """Raises SoakDescriptionError where the run would need more processes or memory than one may use. `process_mb`: of one process."""
     count, most = description.processes, MEMORY_FRACTION * available_mb
     if count > MAX_PROCESSES:
-        raise BadSoak(f"{count} processes are asked for, {MAX_PROCESSES} may run: lower data_planes or control_planes")
+        raise SoakDescriptionError(
+            f"{count} processes are asked for, {MAX_PROCESSES} may run: lower data_planes or control_planes"
+        )
     if count * process_mb > most:
-        raise BadSoak(
+        raise SoakDescriptionError(
             f"{count} processes of {process_mb:.0f} MB need {count * process_mb:.0f} MB, half of this machine is {most:.0f} MB: "
             f"lower data_planes or control_planes to {int(most / process_mb)} in all"
         )
--- a/fernyard/lab/soak/operator.py
+++ b/fernyard/lab/soak/operator.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Any
 
-from .clients import HOST_NAME, KEYS, Answer, BrokenOff, read_answer
+from .clients import HOST_NAME, KEYS, Answer, BrokenOffError, read_answer
 from .processes import ClusterProcess, Processes
 from .records import Call, Records
 from .schedule import Order
@@ -151,7 +151,7 @@
     async def _call(self, control: ClusterProcess, method: str, path: str, body: bytes) -> Answer | None:
         try:
             return await asyncio.wait_for(self._exchange(control, method, path, body), CALL_LIMIT)
-        except (OSError, TimeoutError, BrokenOff):
+        except (OSError, TimeoutError, BrokenOffError):
             return None
 
     async def _exchange(self, control: ClusterProcess, method: str, path: str, body: bytes) -> Answer:
--- a/fernyard/lab/soak/records.py
+++ b/fernyard/lab/soak/records.py
@@ -28,7 +28,7 @@
 @attrs.define
 class Try:
     """One try of a client, with an `Attempt-Id` of its own (`id`). `written_at`: its last byte was sent; `left_at`: its client
-    left; `kept`: on a connection that had carried another; `wrong`: what is wrong with its answer, empty if nothing."""
+    left; `kept`: on a connection that had carried another; `retry_after`: seconds that it was asked to wait; `wrong`: what is wrong with its answer, empty if nothing."""
 
     id: str
     kind: str
@@ -43,6 +43,7 @@
     ended_at: float | None = None
     ending: Ending | None = None
     status: int = 0
+    retry_after: float = 0.0
     wrong: str = ""
 
 
--- a/fernyard/lab/soak/runner.py
+++ b/fernyard/lab/soak/runner.py
@@ -12,7 +12,7 @@
 
 from ..load import at_offset
 from .checks import Verdict, judge_run
-from .clients import BrokenOff, Client, read_answer
+from .clients import BrokenOffError, Client, read_answer
 from .description import SoakDescription, check_size, memory_mb
 from .operator import Operator
 from .probe import Probe
@@ -28,7 +28,7 @@
 PROBE_CALL_LIMIT = 1.0
 
 
-class SoakFailed(RuntimeError):
+class SoakFailedError(RuntimeError):
     """The run could not be played: its processes did not come up."""
 
 
@@ -104,7 +104,7 @@
         end = self.now() + START_LIMIT
         while not await true():
             if self.now() > end:
-                raise SoakFailed(f"{complaint}; its log is in {self.folder}")
+                raise SoakFailedError(f"{complaint}; its log is in {self.folder}")
             await asyncio.sleep(START_POLL)
 
     def _restart_clock(self) -> None:
@@ -123,7 +123,7 @@
     async def _status(self, ip: str, port: int, path: str) -> int:
         try:
             return await asyncio.wait_for(_get(ip, port, path), PROBE_CALL_LIMIT)
-        except (OSError, TimeoutError, BrokenOff):
+        except (OSError, TimeoutError, BrokenOffError):
             return 0
 
     # Load ------------------------------------------------------------------------------------------------------------
@@ -136,10 +136,9 @@
             await at_offset(begin, offset)
             await work
 
-        for trouble in self.schedule.troubles:
-            plays.append(self.loop.create_task(at(trouble.at, self.troubles.carry_out(trouble))))
-        for order in self.schedule.orders:
-            plays.append(self.loop.create_task(at(order.at, self.operator.carry_out(order))))
+        works = [(trouble.at, self.troubles.carry_out(trouble)) for trouble in self.schedule.troubles]
+        works += [(order.at, self.operator.carry_out(order)) for order in self.schedule.orders]
+        plays += [self.loop.create_task(at(offset, work)) for offset, work in works]
         for arrival in self.schedule.arrivals:
             await at_offset(begin, arrival.at)
             plays.append(self.loop.create_task(self.clients[arrival.client].play(arrival)))
--- a/fernyard/lab/soak/schedule.py
+++ b/fernyard/lab/soak/schedule.py
@@ -41,7 +41,7 @@
 )
 # How far a client goes before it leaves; STAYS for those that wait for their answer.
 STAYS, INCOMPLETE, SENT, IN_ANSWER = "stays", "incomplete", "sent", "in answer"
-REQUEST_KINDS = (("read", 0.55), ("write", 0.3), ("large", 0.15))
+REQUEST_KINDS, REQUEST_WEIGHTS = ("read", "write", "large"), (0.55, 0.3, 0.15)
 ORDER_KINDS = ("valid", "valid", "refused", "refused", "race", "evacuate", "revoke", "read", "read")
 REFUSED_HOWS = ("odd_kind", "cut_short", "unknown_service", "bad_prefix", "other_bytes")
 SERIES_GAP, SERIES_START = 2.0, 2.0
@@ -130,7 +130,6 @@
 def _arrivals(description: "SoakDescription", random: Random) -> tuple[Arrival, ...]:
     arrivals: list[Arrival] = []
     at = 0.0
-    kinds, weights = zip(*REQUEST_KINDS, strict=True)
     while True:
         at += random.expovariate(description.rate)
         if at >= description.seconds:
@@ -143,7 +142,7 @@
                 round(at, 4),
                 len(arrivals),
                 random.randrange(description.clients),
-                random.choices(kinds, weights)[0],
+                random.choices(REQUEST_KINDS, REQUEST_WEIGHTS)[0],
                 "limited" if random.random() < 0.2 else "free",
                 leaves,
                 round(LONGEST_STAY * random.random() ** 2, 4),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,7 @@
 
 from fernyard.lab.soak import checks, report
 from fernyard.lab.soak.clients import Answer, wrong_with
-from fernyard.lab.soak.description import BadSoak, check_size, load, shipped
+from fernyard.lab.soak.description import SoakDescriptionError, check_size, load, shipped
 from fernyard.lab.soak.mutants import MUTANTS
 from fernyard.lab.soak.records import Call, Disturbance, Ending, Exit, Records, Try, Usage, Work, WorkEnding
 from fernyard.lab.soak.runner import play
@@ -30,7 +30,7 @@
         file.write_text(text, encoding="utf-8")
         try:
             return load(str(file)).name
-        except BadSoak as error:
+        except SoakDescriptionError as error:
             return str(error)
 
 
@@ -50,7 +50,7 @@
 
     def test_memory(self):
         check_size(SHORT, 1000.0, 100.0)
-        with self.assertRaisesRegex(BadSoak, "to 4 in all"):
+        with self.assertRaisesRegex(SoakDescriptionError, "to 4 in all"):
             check_size(SHORT, 800.0, 99.0)
 
     def test_shipped(self):
