--- a/fernyard/lab/processes.py
+++ b/fernyard/lab/processes.py
@@ -21,7 +21,7 @@
 from .loopback import HOST
 from .model import Shape
 from .result import configuration
-from .runner import _end_with_the_lab, free_port
+from .runner import end_with_parent, free_port
 from .scenario import parse_told
 from .worker import EmulatedWorker
 
@@ -44,7 +44,7 @@
         self.begun = len(self.log.read_text(errors="replace").splitlines()) if self.log.exists() else 0
 
         def ready():
-            _end_with_the_lab()
+            end_with_parent()
             if most_file is not None:
                 signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
                 resource.setrlimit(resource.RLIMIT_FSIZE, (most_file, most_file))
--- a/fernyard/lab/runner.py
+++ b/fernyard/lab/runner.py
@@ -35,7 +35,7 @@
 PR_SET_PDEATHSIG = 1
 
 
-def _end_with_the_lab():
+def end_with_parent():
     """Run in each gatekeeper's process before it starts: it is sent SIGTERM when the lab ends, however
     the lab ends (a lab killed half-way left its gatekeepers running). Linux only; elsewhere nothing is
     done."""
@@ -173,7 +173,7 @@
                 env=environment,
                 stdout=asyncio.subprocess.DEVNULL,
                 stderr=errors,
-                preexec_fn=_end_with_the_lab,
+                preexec_fn=end_with_parent,
             )
 
     async def _healthy(self, addresses, within=20.0):
--- a/fernyard/lab/soak/checks.py
+++ b/fernyard/lab/soak/checks.py
@@ -17,7 +17,7 @@
 from .records import Call, Disturbance, Ending, Records, Try, Work, WorkEnding
 
 FEW = 3  # what the pages call "a few"
-LATENESS_FRACTION = 0.25  # of a bound, by which a probe may be woken late while the bound is judged
+WAKE_DELAY_FRACTION = 0.25  # of a bound, by which a probe may be woken late while the bound is judged
 EXIT_MARGIN = 0.5  # seconds that noticing an exit may take
 DESCRIPTOR_MARGIN, MEMORY_FACTOR, MEMORY_MARGIN_MB = 30, 1.5, 40.0
 MIN_JUDGED = 0.5  # of all that bounds are judged on; below, a run is not judged
@@ -66,13 +66,13 @@
         for disturbance in records.disturbances:
             self.disturbed[disturbance.name].append(disturbance)
         self.controls = [name for name in self.disturbed if name.startswith("control-plane")]
-        self.late_at = [at for at, _ in records.lateness]
+        self.wake_delay_at = [at for at, _ in records.wake_delays]
 
     def could_keep(self, begin: float, end: float, bound: float) -> bool:
         """Were the probes woken in time between these moments, as measured by the bound?"""
-        first, last = bisect_left(self.late_at, begin - 0.2), bisect_right(self.late_at, end + 0.2)
-        worst = max((late for _, late in self.records.lateness[first:last]), default=0.0)
-        return worst <= LATENESS_FRACTION * bound
+        first, last = bisect_left(self.wake_delay_at, begin - 0.2), bisect_right(self.wake_delay_at, end + 0.2)
+        worst = max((late for _, late in self.records.wake_delays[first:last]), default=0.0)
+        return worst <= WAKE_DELAY_FRACTION * bound
 
     def disturbances(self, name: str, begin: float, end: float) -> list[Disturbance]:
         """What was done to a process, worker or link between these moments."""
@@ -226,11 +226,11 @@
     return result
 
 
-def lost_kept(judge: Judge) -> Judgement:
+def lost_on_reused_connections(judge: Judge) -> Judgement:
     """At any time: what was passed on from a kept connection is answered, but for a few."""
     result, found = Judgement("LOST kept"), []
     for made in judge.records.tries:
-        if not made.kept or made.ended_at is None or made.ending is Ending.LEFT:
+        if not made.reused or made.ended_at is None or made.ending is Ending.LEFT:
             continue
         fair = judge.in_touch(made.gateway, made.sent_at, made.ended_at) and judge.could_keep(
             made.sent_at, made.ended_at, 1.0
@@ -250,13 +250,13 @@
             result.judged += 1
             result.findings.append(f"{ended.name} ended by itself at {ended.at:.1f} s with status {ended.status}")
             continue
-        if ended.asked_at is None:
+        if ended.terminated_at is None:
             continue
-        others = judge.disturbances(ended.name, ended.asked_at - 0.5, ended.at)
+        others = judge.disturbances(ended.name, ended.terminated_at - 0.5, ended.at)
         was_let = not any(one.kind.endswith(("stop", "kill", "wipe", "alone", "kill_all")) for one in others)
-        fair = was_let and judge.could_keep(ended.asked_at, ended.at, 2.0)
+        fair = was_let and judge.could_keep(ended.terminated_at, ended.at, 2.0)
         result.judged, result.unjudged = result.judged + fair, result.unjudged + (not fair)
-        took = ended.at - ended.asked_at
+        took = ended.at - ended.terminated_at
         if fair:
             result.worst = max(result.worst, took)
         if fair and (ended.status != 0 or took > bounds.graceS + EXIT_MARGIN):
@@ -434,7 +434,7 @@
     gone_new,
     gone_work,
     lost_planned,
-    lost_kept,
+    lost_on_reused_connections,
     exits,
     drain,
     budget,
@@ -466,7 +466,7 @@
 
 def _judged_fraction(judge: Judge) -> float:
     """Of the time of the run, that in which the probes were woken in time for a bound of half a second."""
-    late = judge.records.lateness
+    late = judge.records.wake_delays
     if not late:
         return 0.0
-    return sum(seconds <= LATENESS_FRACTION * judge.bounds.goneS for _, seconds in late) / len(late)
+    return sum(seconds <= WAKE_DELAY_FRACTION * judge.bounds.goneS for _, seconds in late) / len(late)
--- a/fernyard/lab/soak/clients.py
+++ b/fernyard/lab/soak/clients.py
@@ -20,8 +20,8 @@
 FINAL = (400, 401, 404, 413, 431)
 MOST_TRIES = 4
 CONNECT_LIMIT, RESOLVE_LIMIT = 1.0, 1.0
-PAUSE = 0.1  # before a try again, where no `Retry-After` says more
-KEPT = 4  # connections that one client keeps
+MIN_BACKOFF = 0.1  # before a try again, where no `Retry-After` says more
+MAX_IDLE = 4  # connections that one client keeps
 BODY = b"what is asked, with a body of its own\n" * 8
 
 
@@ -71,7 +71,7 @@
     def __init__(self, number: int, run: Processes, records: Records, now: Callable[[], float]) -> None:
         self.number, self.run, self.records, self.now = number, run, records, now
         self.random = Random(f"client {run.description.name} {number}")
-        self.kept: list[Connection] = []
+        self.idle: list[Connection] = []
         self.gateways: list[str] = []
         self.resolved_until = 0.0
         self.tries = 0
@@ -105,8 +105,8 @@
             writer.close()
 
     async def _connect(self, fresh: bool) -> Connection | None:
-        if self.kept and not fresh:
-            return self.kept.pop()
+        if self.idle and not fresh:
+            return self.idle.pop()
         await self._resolve()
         if not self.gateways:
             return None
@@ -125,15 +125,15 @@
         deadline, fresh, leaves = self.now() + PATIENCE, arrival.fresh, arrival.leaves
         for number in range(MOST_TRIES):
             connection = await self._connect(fresh)
-            pause = PAUSE * (number + 1)
+            backoff = MIN_BACKOFF * (number + 1)
             if connection is not None:
                 made = await self._try(arrival, connection, deadline, leaves, number > 0)
                 if not self._may_try_again(arrival, made):
                     return
-                pause = max(pause, made.retry_after)
-            if self.now() + pause >= deadline:
+                backoff = max(backoff, made.retry_after)
+            if self.now() + backoff >= deadline:
                 return
-            await asyncio.sleep(pause)
+            await asyncio.sleep(backoff)
             fresh, leaves = True, STAYS
 
     def _may_try_again(self, arrival: Arrival, made: Try) -> bool:
@@ -213,14 +213,14 @@
         made.ending, made.ended_at, made.status = Ending.ANSWERED, self.now(), answer.status
         made.wrong = wrong_with(made, answer)
         made.retry_after = min(float(answer.headers.get("retry-after", "0")), (made.deadline_at - self.now()) / 3)
-        if answer.headers.get("connection", "").lower() == "close" or len(self.kept) >= KEPT:
+        if answer.headers.get("connection", "").lower() == "close" or len(self.idle) >= MAX_IDLE:
             connection.end()
         else:
-            self.kept.append(connection)
+            self.idle.append(connection)
 
     def close(self) -> None:
         """Ends its connections."""
-        for connection in self.kept:
+        for connection in self.idle:
             connection.end()
 
 
--- a/fernyard/lab/soak/operator.py
+++ b/fernyard/lab/soak/operator.py
@@ -13,7 +13,7 @@
 from .workers import SERVICES
 
 CALL_LIMIT = 1.0
-PAUSES = (0.1, 0.2, 0.4, 0.8, 1.0, 1.0)  # between the tries of one call
+BACKOFFS = (0.1, 0.2, 0.4, 0.8, 1.0, 1.0)  # between the tries of one call
 REVOKED_KEY = "key-that-is-taken-away"
 FIRST_VERSION, VERSION_STEP = 3, 2
 ROUTE_TIMEOUT = 3.0  # seconds, of each route
@@ -138,14 +138,14 @@
         return call
 
     async def _until_clear(self, call: Call, method: str, path: str, body: bytes, once: bool) -> Call:
-        for pause in PAUSES:
+        for backoff in BACKOFFS:
             control = self.random.choice(self.run.controls)
             answer = await self._call(control, method, path, body)
             call.process, call.ended_at = control.name, self.now()
             call.status = answer.status if answer is not None else 0
             if call.status in (200, 400, 404, 409, 412, 413, 422) or (once and call.status):
                 return call
-            await asyncio.sleep(pause)
+            await asyncio.sleep(backoff)
         return call
 
     async def _call(self, control: ClusterProcess, method: str, path: str, body: bytes) -> Answer | None:
--- a/fernyard/lab/soak/probe.py
+++ b/fernyard/lab/soak/probe.py
@@ -22,10 +22,10 @@
 
 
 class Probe:
-    """Measures until `close`; `lateness` lists (when, how late) for each GRAIN, on the steady clock."""
+    """Measures until `close`; `wake_delays` lists (when, how late) for each GRAIN, on the steady clock."""
 
     def __init__(self) -> None:
-        self.lateness: list[tuple[float, float]] = []
+        self.wake_delays: list[tuple[float, float]] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._beside: asyncio.subprocess.Process | None = None
 
@@ -45,7 +45,7 @@
             now = time.monotonic()
             worst = max(worst, now - due)
             if now - since >= GRAIN:
-                self.lateness.append((now, worst))
+                self.wake_delays.append((now, worst))
                 worst, since = 0.0, now
 
     async def _read_beside(self) -> None:
@@ -53,7 +53,7 @@
         assert self._beside.stdout is not None
         while line := await self._beside.stdout.readline():
             at, late = line.split()
-            self.lateness.append((float(at), float(late)))
+            self.wake_delays.append((float(at), float(late)))
 
     async def close(self) -> None:
         """Ends both."""
--- a/fernyard/lab/soak/processes.py
+++ b/fernyard/lab/soak/processes.py
@@ -13,7 +13,7 @@
 import attrs
 
 from ... import __name__ as package
-from ..runner import _end_with_the_lab
+from ..runner import end_with_parent
 from .description import SoakDescription
 from .records import Disturbance, Exit, Records
 
@@ -61,7 +61,7 @@
         self.folder = run.folder / self.name
         self.folder.mkdir()
         self.process: asyncio.subprocess.Process | None = None
-        self.asked_at: float | None = None
+        self.terminated_at: float | None = None
         self.is_killed, self.starts = False, 0
         self.lock = asyncio.Lock()  # one series of signals after the other
 
@@ -83,7 +83,7 @@
         settings = self.folder / "local.toml"
         settings.write_text(self.run.settings(self), encoding="utf-8")
         self.starts += 1
-        self.asked_at, self.is_killed = None, False
+        self.terminated_at, self.is_killed = None, False
         with open(self.folder / "log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -103,7 +103,7 @@
         """Sends a signal, if it runs."""
         if self.runs and self.process is not None:
             if number == signal.SIGTERM:
-                self.asked_at = self.run.now()
+                self.terminated_at = self.run.now()
             if number == signal.SIGKILL:
                 self.is_killed = True
             self.process.send_signal(number)
@@ -139,7 +139,7 @@
 
 
 def _prepare() -> None:
-    _end_with_the_lab()
+    end_with_parent()
     resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
 
 
@@ -208,9 +208,9 @@
 
     async def _note_end(self, process: ClusterProcess, started: asyncio.subprocess.Process) -> None:
         status = await started.wait()
-        expected = process.asked_at is not None or process.is_killed
-        asked_at = None if process.is_killed and process.asked_at is None else process.asked_at
-        self.records.exits.append(Exit(process.name, self.now(), status, asked_at, expected))
+        expected = process.terminated_at is not None or process.is_killed
+        terminated_at = None if process.is_killed and process.terminated_at is None else process.terminated_at
+        self.records.exits.append(Exit(process.name, self.now(), status, terminated_at, expected))
 
     def disturb(self, process: ClusterProcess, kind: str, planned: bool = False) -> Disturbance:
         """Notes that something is done to a process; the caller sets the end."""
--- a/fernyard/lab/soak/records.py
+++ b/fernyard/lab/soak/records.py
@@ -28,7 +28,7 @@
 @attrs.define
 class Try:
     """One try of a client, with an `Attempt-Id` of its own (`id`). `written_at`: its last byte was sent; `left_at`: its client
-    left; `kept`: on a connection that had carried another; `retry_after`: seconds that it was asked to wait; `wrong`: what is wrong with its answer, empty if nothing."""
+    left; `reused`: on a connection that had carried another; `retry_after`: seconds that it was asked to wait; `wrong`: what is wrong with its answer, empty if nothing."""
 
     id: str
     kind: str
@@ -36,7 +36,7 @@
     gateway: str
     sent_at: float
     deadline_at: float
-    kept: bool
+    reused: bool
     repeat: bool
     written_at: float | None = None
     left_at: float | None = None
@@ -90,12 +90,12 @@
 
 @attrs.define
 class Exit:
-    """A process ended. `asked_at`: when SIGTERM was sent, None without; `expected`: SIGTERM or SIGKILL was sent."""
+    """A process ended. `terminated_at`: when SIGTERM was sent, None without; `expected`: SIGTERM or SIGKILL was sent."""
 
     name: str
     at: float
     status: int
-    asked_at: float | None
+    terminated_at: float | None
     expected: bool
 
 
@@ -110,7 +110,7 @@
 
 @attrs.define
 class Records:
-    """All of one run. `draining`: when the list first showed a worker as draining; `lateness`: (when, how late) the probes were
+    """All of one run. `draining`: when the list first showed a worker as draining; `wake_delays`: (when, how late) the probes were
     woken, the worst of each tenth of a second; `cold`: workers that had just started."""
 
     tries: list[Try] = attrs.Factory(list)
@@ -120,5 +120,5 @@
     exits: list[Exit] = attrs.Factory(list)
     usage: list[Usage] = attrs.Factory(list)
     draining: dict[str, float] = attrs.Factory(dict)
-    lateness: list[tuple[float, float]] = attrs.Factory(list)
+    wake_delays: list[tuple[float, float]] = attrs.Factory(list)
     ended_at: float = 0.0
--- a/fernyard/lab/soak/runner.py
+++ b/fernyard/lab/soak/runner.py
@@ -76,7 +76,7 @@
             await self.platform.close()
             await self.fleet.close()
         begin = self.started_at
-        self.records.lateness = sorted((at - begin, late) for at, late in self.probe.lateness if at >= begin)
+        self.records.wake_delays = sorted((at - begin, late) for at, late in self.probe.wake_delays if at >= begin)
         return self.records
 
     # Start -----------------------------------------------------------------------------------------------------------
--- a/fernyard/lab/soak/schedule.py
+++ b/fernyard/lab/soak/schedule.py
@@ -168,7 +168,7 @@
     allowed = set(description.troubles)
     if seed % 4 == 1:
         allowed -= {*CONTROL_KINDS, "kill_all"}
-    pause = random.choice(TROUBLE_EVERY)
+    interval = random.choice(TROUBLE_EVERY)
     end = description.seconds - description.calm
     troubles = _series(description, random) if seed % 3 == 0 and "gateway_term" in allowed else []
     kinds = [kind for kind in TROUBLE_KINDS if kind in allowed and kind != "kill_all"]
@@ -178,7 +178,7 @@
         if kind not in CONTROL_KINDS or at >= control_free:
             troubles.append(_trouble(description, random, at, kind))
             control_free = at + CONTROL_GAP if kind in CONTROL_KINDS else control_free
-        at += random.expovariate(1 / pause)
+        at += random.expovariate(1 / interval)
     if seed % 10 == 0 and "kill_all" in allowed:
         troubles.append(Trouble(round(end, 3), "kill_all", 0, 1.0))
     return tuple(sorted(troubles, key=lambda trouble: trouble.at))
--- a/fernyard/lab/soak/troubles.py
+++ b/fernyard/lab/soak/troubles.py
@@ -83,14 +83,14 @@
         for disturbance in disturbances:
             disturbance.end = self.run.now()
 
-    async def _restart(self, process: ClusterProcess, what: str, pause: float) -> None:
+    async def _restart(self, process: ClusterProcess, what: str, downtime: float) -> None:
         if what == "term":
             await process.stop(self.run.description.bounds.graceS)
         else:
             await process.kill()
         if what == "wipe":
             process.wipe()
-        await asyncio.sleep(pause)
+        await asyncio.sleep(downtime)
         await self._start(process)
 
     async def _start(self, process: ClusterProcess) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -79,7 +79,7 @@
 
 
 def a_try(**fields):
-    told = {"kind": "read", "tenant": "free", "gateway": GATEWAY, "sent_at": 10.0, "deadline_at": 14.0, "kept": False}
+    told = {"kind": "read", "tenant": "free", "gateway": GATEWAY, "sent_at": 10.0, "deadline_at": 14.0, "reused": False}
     made = Try(
         **{
             "id": "a",
@@ -116,7 +116,7 @@
 
 def records(tries=(), work=(), **fields):
     told = Records(list(tries), list(work), ended_at=60.0, **fields)
-    told.lateness = told.lateness or [(at / 10, 0.001) for at in range(600)]
+    told.wake_delays = told.wake_delays or [(at / 10, 0.001) for at in range(600)]
     return told
 
 
@@ -157,7 +157,7 @@
         ("soon", of_pairs([left(n, arrived_at=10.5) for n in range(6)]), False),
         ("a few", of_pairs([left(n, arrived_at=13.0) for n in range(3)]), False),
         ("more than a few", of_pairs([left(n, arrived_at=13.0) for n in range(4)]), True),
-        ("a machine that wakes late", of_pairs([left(n, arrived_at=13.0) for n in range(4)], lateness=LATE), False),
+        ("a machine that wakes late", of_pairs([left(n, arrived_at=13.0) for n in range(4)], wake_delays=LATE), False),
     ),
     checks.gone_work: (
         ("given up", of_pairs([left(n, **STOPPED) for n in range(8)]), False),
@@ -183,15 +183,15 @@
         ("killed", records([a_try(ending=Ending.CLOSED)], [a_work()], disturbances=[TERM, KILL]), False),
         ("no planned work", records([a_try(ending=Ending.CLOSED)], [a_work()]), False),
     ),
-    checks.lost_kept: (
+    checks.lost_on_reused_connections: (
         (
             "a few",
-            records([a_try(id=n, kept=True, ending=Ending.CLOSED) for n in "abc"], [a_work(id=n) for n in "abc"]),
+            records([a_try(id=n, reused=True, ending=Ending.CLOSED) for n in "abc"], [a_work(id=n) for n in "abc"]),
             False,
         ),
         (
             "more",
-            records([a_try(id=n, kept=True, ending=Ending.CLOSED) for n in "abcd"], [a_work(id=n) for n in "abcd"]),
+            records([a_try(id=n, reused=True, ending=Ending.CLOSED) for n in "abcd"], [a_work(id=n) for n in "abcd"]),
             True,
         ),
     ),
@@ -283,8 +283,10 @@
 
     def test_a_run_in_which_nothing_could_be_judged_is_not_kept(self):
         self.assertEqual(checks.judge_run(self.SITE, records([a_try()], [a_work()])).state, "kept")
-        self.assertEqual(checks.judge_run(self.SITE, records([a_try()], [a_work()], lateness=LATE)).state, "not judged")
-        broken = checks.judge_run(self.SITE, records([a_try(wrong="x")], lateness=LATE))
+        self.assertEqual(
+            checks.judge_run(self.SITE, records([a_try()], [a_work()], wake_delays=LATE)).state, "not judged"
+        )
+        broken = checks.judge_run(self.SITE, records([a_try(wrong="x")], wake_delays=LATE))
         self.assertEqual((broken.state, broken.broken), ("broken", ["MIXED"]))
 
     def test_answers(self):
