--- a/fernyard/lab/soak/runner.py
+++ b/fernyard/lab/soak/runner.py
@@ -11,9 +11,10 @@
 import attrs
 
 from ..load import at_offset
-from .checks import Verdict, judge_run
+from .checks import judge_run
 from .clients import BrokenOffError, Client, read_answer
 from .description import SoakDescription, check_size, memory_mb
+from .judge import Verdict
 from .operator import Operator
 from .probe import Probe
 from .processes import ClusterProcess, Processes
