Signals while a program starts: SIGTERM ends it with status 0, SIGHUP is kept; two faults of the soak

The soak itself looked for the end of a process before each signal and so took its status away, and its children outlived it where it was ended.

--- a/fernyard/lab/runner.py
+++ b/fernyard/lab/runner.py
@@ -35,13 +35,13 @@
 PR_SET_PDEATHSIG = 1
 
 
-def end_with_parent():
-    """Run in each gatekeeper's process before it starts: it is sent SIGTERM when the lab ends, however
+def end_with_parent(number=signal.SIGTERM):
+    """Run in each gatekeeper's process before it starts: it is sent that signal when the lab ends, however
     the lab ends (a lab killed half-way left its gatekeepers running). Linux only; elsewhere nothing is
     done."""
     try:
         libc = ctypes.CDLL(None, use_errno=True)
-        libc.prctl(PR_SET_PDEATHSIG, signal.SIGTERM)
+        libc.prctl(PR_SET_PDEATHSIG, number)
     except (OSError, AttributeError):
         pass
 
--- a/fernyard/lab/soak/cli.py
+++ b/fernyard/lab/soak/cli.py
@@ -8,6 +8,7 @@
 
 import click
 
+from ..runner import end_with_parent
 from . import report
 from .description import SoakDescription, SoakDescriptionError, load, shipped
 from .mutants import MUTANTS
@@ -160,6 +161,7 @@
         str(seed),
         keep,
         stdout=asyncio.subprocess.PIPE,
+        preexec_fn=end_with_parent,
     )
     output, _ = await process.communicate()
     if process.returncode != 0:
--- a/fernyard/lab/soak/mutants.py
+++ b/fernyard/lab/soak/mutants.py
@@ -65,8 +65,10 @@
     """Takes the guard out and runs the program."""
     guard = sys.argv.pop(1)
     MUTANTS[guard]()
-    from ...cluster.__main__ import main as run_program
+    from ...cluster.command_line import main as run_program
+    from ...cluster.early_signals import EARLY_SIGNALS
 
+    EARLY_SIGNALS.install()
     run_program()
 
 
--- a/fernyard/lab/soak/processes.py
+++ b/fernyard/lab/soak/processes.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 
 import attrs
@@ -106,7 +107,9 @@
                 self.terminated_at = self.run.now()
             if number == signal.SIGKILL:
                 self.is_killed = True
-            self.process.send_signal(number)
+            # Not `send_signal`: it looks for the end of the process first, and takes its status from whoever waits for it.
+            with suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     async def stop(self, grace: float) -> None:
         """SIGTERM, and SIGKILL where it does not end within `grace` and a margin."""
@@ -139,7 +142,7 @@
 
 
 def _prepare() -> None:
-    end_with_parent()
+    end_with_parent(signal.SIGKILL)  # one that is stopped would not act on any other
     resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
 
 
