--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -169,6 +169,16 @@
     checks.lost_planned: (
         ("answered", records([a_try()], [a_work()], disturbances=[TERM]), False),
         ("closed", records([a_try(ending=Ending.CLOSED)], [a_work()], disturbances=[TERM]), True),
+        (
+            "crossed the close, on a machine that wakes late",
+            records(
+                [a_try(ending=Ending.CLOSED, ended_at=10.3)],
+                disturbances=[TERM],
+                wake_delays=[(at / 10, 0.1) for at in range(600)],
+            ),
+            False,
+        ),
+        ("held, then closed", records([a_try(ending=Ending.CLOSED, ended_at=10.3)], disturbances=[TERM]), True),
         ("crossed the close", records([a_try(ending=Ending.CLOSED, ended_at=10.05)], disturbances=[TERM]), False),
         (
             "the worker broke off",
