--- a/fernyard/lab/soak/checks.py
+++ b/fernyard/lab/soak/checks.py
@@ -255,13 +255,17 @@
 # Quotas --------------------------------------------------------------------------------------------------------------
 
 
+def _limited_runs(judge: Judge) -> list[float]:
+    """When the runs of the tenant with a limit began, in order."""
+    works = (work for work in judge.records.work if work.tenant == "limited")
+    return sorted(work.began_at for work in works if work.began_at is not None)
+
+
 def quota(judge: Judge) -> Judgement:
     """A tenant's runs stay within its quota in each window, over all gateways."""
     bounds, rate = judge.bounds, judge.description.quota
     allowed = (rate * bounds.quotaWinS + rate) * (1 + bounds.quotaExcess) + bounds.quotaSlack
-    runs = sorted(
-        work.began_at for work in judge.records.work if work.tenant == "limited" and work.began_at is not None
-    )
+    runs = _limited_runs(judge)
     result = Judgement("QUOTA", len(runs))
     for last, at in enumerate(runs):
         count = last + 1 - bisect_left(runs, at - bounds.quotaWinS)
@@ -276,9 +280,7 @@
 def quota_returned(judge: Judge) -> Judgement:
     """Units of what never ran go back: a tenant that uses little of its quota isn't refused, but for a few."""
     result, found, rate = Judgement("QUOTA returned"), [], judge.description.quota
-    runs = sorted(
-        work.began_at for work in judge.records.work if work.tenant == "limited" and work.began_at is not None
-    )
+    runs = _limited_runs(judge)
     gateways = [name for name in judge.disturbed if name.startswith("data-plane")]
     for made in judge.records.tries:
         if made.status != 429 or made.ended_at is None:
@@ -386,14 +388,6 @@
     served,
     leaks,
 )
-BOUNDED = (
-    "GONE new",
-    "GONE work",
-    "LOST planned",
-    "LOST kept",
-    "EXIT",
-    "DRAIN",
-)  # judged only where a bound could be kept
 
 
 def judge_run(description: SoakDescription, records: Records) -> Verdict:
--- a/fernyard/lab/soak/clients.py
+++ b/fernyard/lab/soak/clients.py
@@ -22,6 +22,7 @@
 CONNECT_LIMIT, RESOLVE_LIMIT = 1.0, 1.0
 MIN_BACKOFF = 0.1  # before a try again, where no `Retry-After` says more
 MAX_IDLE = 4  # connections that one client keeps
+LONGEST_HEAD = 1 << 20  # bytes that are read before an answer's head has to end
 BODY = b"what is asked, with a body of its own\n" * 8
 
 
@@ -65,6 +66,16 @@
         raise BrokenOffError(str(error)) from error
 
 
+async def http_call(ip: str, port: int, request: bytes) -> Answer:
+    """One request on a connection of its own. Raises OSError and BrokenOffError."""
+    reader, writer = await asyncio.open_connection(ip, port, limit=LONGEST_HEAD)
+    try:
+        writer.write(request)
+        return await read_answer(reader)
+    finally:
+        writer.close()
+
+
 class Client:
     """One client: its connections, and the gateways it was told of."""
 
@@ -96,13 +107,9 @@
                 return
 
     async def _ask(self, ip: str, zone: str) -> Answer:
-        reader, writer = await asyncio.open_connection(ip, self.run.ports.directory)
-        try:
-            path = f"/-/resolve?name={HOST_NAME}&region=r{zone[1:]}&zone={zone}"
-            writer.write(f"GET {path} HTTP/1.1\r\nHost: {HOST_NAME}\r\nConnection: close\r\n\r\n".encode())
-            return await read_answer(reader)
-        finally:
-            writer.close()
+        path = f"/-/resolve?name={HOST_NAME}&region=r{zone[1:]}&zone={zone}"
+        request = f"GET {path} HTTP/1.1\r\nHost: {HOST_NAME}\r\nConnection: close\r\n\r\n"
+        return await http_call(ip, self.run.ports.directory, request.encode())
 
     async def _connect(self, fresh: bool) -> Connection | None:
         if self.idle and not fresh:
--- a/fernyard/lab/soak/operator.py
+++ b/fernyard/lab/soak/operator.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Any
 
-from .clients import HOST_NAME, KEYS, Answer, BrokenOffError, read_answer
+from .clients import HOST_NAME, KEYS, Answer, BrokenOffError, http_call
 from .processes import ClusterProcess, Processes
 from .records import Call, Records
 from .schedule import Order
@@ -155,10 +155,8 @@
             return None
 
     async def _exchange(self, control: ClusterProcess, method: str, path: str, body: bytes) -> Answer:
-        reader, writer = await asyncio.open_connection(control.ip, self.run.ports.control, limit=1 << 20)
-        try:
-            head = f"{method} {path} HTTP/1.1\r\nHost: c\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n"
-            writer.write(f"{head}Connection: close\r\n\r\n".encode() + body)
-            return await read_answer(reader)
-        finally:
-            writer.close()
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: c\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        return await http_call(control.ip, self.run.ports.control, head.encode() + body)
--- a/fernyard/lab/soak/processes.py
+++ b/fernyard/lab/soak/processes.py
@@ -23,7 +23,6 @@
 LINK_MBPS, MEMORY_MB, DESCRIPTORS = 1000, 300, 4100
 BLOCKS, CLAIM_PORT = range(16, 250), 9463
 KILL_MARGIN = 1.0  # seconds beyond `graceS` after which a process that still runs is killed
-START_LIMIT = 30.0
 
 
 @attrs.frozen
--- a/fernyard/lab/soak/runner.py
+++ b/fernyard/lab/soak/runner.py
@@ -12,7 +12,7 @@
 
 from ..load import at_offset
 from .checks import judge_run
-from .clients import BrokenOffError, Client, read_answer
+from .clients import BrokenOffError, Client, http_call
 from .description import SoakDescription, check_size, memory_mb
 from .judge import Verdict
 from .operator import Operator
@@ -179,12 +179,8 @@
 
 
 async def _get(ip: str, port: int, path: str) -> int:
-    reader, writer = await asyncio.open_connection(ip, port, limit=1 << 20)
-    try:
-        writer.write(f"GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".encode())
-        return (await read_answer(reader)).status
-    finally:
-        writer.close()
+    request = f"GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    return (await http_call(ip, port, request.encode())).status
 
 
 async def play(description: SoakDescription, schedule: Schedule, keep: Path | None = None, mutant: str = "") -> Result:
--- a/fernyard/lab/soak/workers.py
+++ b/fernyard/lab/soak/workers.py
@@ -215,11 +215,10 @@
 
     def __init__(self, fleet: Fleet) -> None:
         super().__init__()
-        self.fleet, self.mode, self.asked = fleet, "ok", 0
+        self.fleet, self.mode = fleet, "ok"
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """GET /workers."""
-        self.asked += 1
         if self.mode == "429":
             return web.Response(status=429)
         if self.mode == "silent":
