--- a/review/standins/scene.py
+++ b/review/standins/scene.py
@@ -27,9 +27,9 @@
     """The case could not be played."""
 
 
-def configuration(version: int, service: str, hold: str = "") -> bytes:
+def configuration(version: int, service: str, hold: str = "", prio: object = 1) -> bytes:
     """Two services, one tenant without a quota, one route to one of the services. `hold`: the service of a second route, whose
-    requests may run once at most."""
+    requests may run once at most; `prio`: the tenant's rank."""
     common = {"targetS": 0.8, "prio": 1, "tries": 2, "public": False}
     paths = [{"name": "read", "prefix": PATH, "kind": "idempotent", "timeoutS": 3, "svc": service, **common}]
     if hold:
@@ -42,7 +42,7 @@
             "ver": f"{version:08x}",
             "svcs": services,
             "caps": {"headerBytes": 16384, "bodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
-            "accounts": [{"name": "tenant", "apikeys": [KEY], "prio": 1, "ratePerS": 0, "burstMax": 0}],
+            "accounts": [{"name": "tenant", "apikeys": [KEY], "prio": prio, "ratePerS": 0, "burstMax": 0}],
             "vhosts": [{"host": HOST, "paths": paths}],
         }
     ).encode()
@@ -82,9 +82,9 @@
             raise NotRunError("not all gateways are ready")
         self._traffic = asyncio.ensure_future(self.clients.run(self.system.gateways, PATH, RATE))
 
-    async def put(self, version: int, service: str, hold: str = "") -> tuple[int, float]:
+    async def put(self, version: int, service: str, hold: str = "", prio: object = 1) -> tuple[int, float]:
         """The operator's call with a configuration (see `configuration`)."""
-        body = configuration(version, service, hold)
+        body = configuration(version, service, hold, prio)
         return await self.operator.order(self.system.controls, "PUT", "/-/config", body, START_LIMIT)
 
     async def lease_holder(self) -> Program:
