Control plane: log which evacuation was decided, where it was asked for and under which revision

Change: whoever proposed an evacuation logs what became of it: zone, revision of the decided state, ip of the control plane that the operator asked. The digests of seeded runs leave this command out, as it is a log line.

--- a/fernyard/cluster/control_plane/command_executor.py
+++ b/fernyard/cluster/control_plane/command_executor.py
@@ -15,6 +15,7 @@
     FetchBody,
     PublishState,
     PushBody,
+    ReportEvacuation,
     SendMessage,
     StoreArea,
 )
@@ -70,6 +71,8 @@
                     waiting.set_result(command)
             case PublishState():
                 self.publish()
+            case ReportEvacuation():
+                _log_evacuation(command)
             case _:
                 assert_never(command)
 
@@ -100,3 +103,8 @@
                 self.handle_event(BodyReceived(stored.id, stored.body))
         finally:
             self._fetching.discard(command.id)
+
+
+def _log_evacuation(report: ReportEvacuation) -> None:
+    sentence = "An evacuation was rejected." if report.rejected else "An evacuation was decided."
+    log.info(sentence, zone=report.zone, evacuated=report.evacuated, revision=report.revision, asked=report.asked)
--- a/fernyard/cluster/control_plane/commands.py
+++ b/fernyard/cluster/control_plane/commands.py
@@ -57,4 +57,18 @@
     """A newer state is decided and the bytes of its configuration are at hand: gateways may be notified."""
 
 
-Command = StoreArea | EraseArea | SendMessage | PushBody | FetchBody | CompleteCall | PublishState
+class ReportEvacuation(msgspec.Struct, frozen=True):
+    """Log what became of an evacuation, or of its end, that was proposed here.
+
+    `revision`: of the state in which it was decided; `asked`: the ip of the replica that the operator asked; `rejected`: the
+    state did not take it.
+    """
+
+    zone: str
+    evacuated: bool
+    revision: int
+    asked: str
+    rejected: bool
+
+
+Command = StoreArea | EraseArea | SendMessage | PushBody | FetchBody | CompleteCall | PublishState | ReportEvacuation
--- a/fernyard/cluster/control_plane/operator_calls.py
+++ b/fernyard/cluster/control_plane/operator_calls.py
@@ -8,7 +8,7 @@
 import attrs
 
 from .bodies import BodyCache
-from .commands import CompleteCall, PushBody
+from .commands import CompleteCall, PushBody, ReportEvacuation
 from .events import CallExpired, ConfigurationSubmitted, EvacuationSubmitted, ReadRequested
 from .leadership import Leadership
 from .learner import Learner
@@ -141,8 +141,9 @@
         if message.incarnation == self.context.incarnation:
             self.complete(message.key, message.conflicting)
 
-    def on_outcome(self, outcome: Outcome) -> None:
-        """A change that was proposed here is decided or rejected."""
+    def on_outcome(self, outcome: Outcome, revision: int) -> None:
+        """A change that was proposed here is decided or rejected. `revision`: of the decided state."""
+        self._report(outcome, revision)
         rejection = outcome.rejection
         conflicting = rejection.conflicting if isinstance(rejection, VersionConflictError) else None
         match outcome.key:
@@ -151,6 +152,14 @@
             case ForwardedKey(ip, incarnation, key):
                 self.context.send(ip, ForwardedChangeResult(key, incarnation, conflicting))
 
+    def _report(self, outcome: Outcome, revision: int) -> None:
+        change, key = outcome.change, outcome.key
+        if not isinstance(change, SetEvacuation):
+            return
+        asked = key.ip if isinstance(key, ForwardedKey) else self.context.settings.ip
+        is_rejected = outcome.rejection is not None
+        self.context.execute(ReportEvacuation(change.zone, change.evacuated, revision, asked, is_rejected))
+
     # What waits ------------------------------------------------------------------------------------------------------
 
     def has_slow_read(self, patience: float) -> bool:
--- a/fernyard/cluster/control_plane/proposer.py
+++ b/fernyard/cluster/control_plane/proposer.py
@@ -56,6 +56,7 @@
     """What became of a change: decided, or rejected by the state to which it was applied (`rejection`)."""
 
     key: ChangeKey
+    change: AnyChange
     rejection: ChangeRejectedError | None = None
 
 
@@ -191,9 +192,9 @@
         for pending in self.pending:
             try:
                 state = pending.change.apply(state)
-                current.outcomes.append(Outcome(pending.key))
+                current.outcomes.append(Outcome(pending.key, pending.change))
             except ChangeRejectedError as rejection:
-                current.outcomes.append(Outcome(pending.key, rejection))
+                current.outcomes.append(Outcome(pending.key, pending.change, rejection))
         current.proposed = state
         current.resend_at = current.began_at + 2 * RESEND_INTERVAL
         return [Multicast(state.electorate, Accept(current.proposal_number, state))]
--- a/fernyard/cluster/control_plane/replica.py
+++ b/fernyard/cluster/control_plane/replica.py
@@ -289,7 +289,7 @@
         for ip in self.other_ips():
             self.context.send(ip, Decision(decided.proposal_number, decided.state))
         for outcome in decided.outcomes:
-            self.calls.on_outcome(outcome)
+            self.calls.on_outcome(outcome, decided.state.revision)
 
     def _on_heartbeat(self, ip: str, heartbeat: ReplicaHeartbeat) -> None:
         is_own = heartbeat.member.ip == self.context.settings.ip
--- a/tests/cluster/control_model.py
+++ b/tests/cluster/control_model.py
@@ -85,7 +85,10 @@
                 dict(self.promises),
                 self.state,
                 set(self.accepted),
-                [Outcome(key, None if taken else ChangeRejectedError()) for key, taken in self.outcomes],
+                [
+                    Outcome(key, CHANGES[key][1], None if taken else ChangeRejectedError())
+                    for key, taken in self.outcomes
+                ],
             )
         return made
 
--- a/tests/cluster/test_golden.py
+++ b/tests/cluster/test_golden.py
@@ -159,6 +159,7 @@
     commands.CompleteCall: "reply",
     commands.PublishState: "publish",
 }
+NOT_RECORDED = (commands.ReportEvacuation,)  # log lines
 SEEDS = range(12)
 EVERY = 200  # steps between two digests of a run
 
@@ -177,6 +178,8 @@
     def record(self, replica, now, event, returned):
         self.digest.update(f"{replica.context.settings.ip} {now:.6f}".encode())
         for value in (event, *returned):
+            if type(value) in NOT_RECORDED:
+                continue
             self.digest.update(LABELS[type(value)].encode())
             for content in fields_of(value):
                 self.digest.update(content)
