Control plane: an evacuation that a later order overtook changes nothing

A zone was evacuated, the lease holder stood still for 1.6 s, the zone was taken back and evacuated again at another control plane, each order acknowledged; when the lease holder went on, the zone was served again for good.

Cause: copies of one order may be at two proposers, the lease holder to which it was forwarded and the control plane that was asked, which proposes it itself after 0.5 s. Each copy was applied to whatever state was the newest then, and an evacuation, unlike a configuration, bears no version: a late copy reads like a new order.

Change: the control plane that is asked has a majority confirm the state of the zone after the order came, and the change bears the number of changes of the zone that it follows; the state rejects it once the zone was changed since. Why this works: the first copy to be decided raises the number, so every other copy finds the zone as it wants it or is rejected, however late it comes. An order that a contrary one overtook gets 503.

--- a/fernyard/cluster/control_plane/operator_calls.py
+++ b/fernyard/cluster/control_plane/operator_calls.py
@@ -2,7 +2,8 @@
 seconds.
 
 A change goes to the lease holder, where there is one, so that proposals don't collide; if that doesn't get it decided, it is
-proposed here as well.
+proposed here as well. So there may be several copies of a change, of which the first to be decided counts: a configuration bears
+its version, and an evacuation the count of the zone's changes, which a majority confirmed after the order came.
 """
 
 import attrs
@@ -39,9 +40,14 @@
 
 @attrs.define
 class Call:
-    """An operator's call that waits. `change` is None for a read; `proposed`: here, not only at the lease holder."""
+    """An operator's call that waits.
+
+    `order`: of an evacuation; `change`: None for a read, and for an evacuation until the state of its zone is confirmed;
+    `proposed`: here, not only at the lease holder.
+    """
 
     since: float
+    order: EvacuationSubmitted | None = None
     change: SetConfiguration | SetEvacuation | None = None
     requested_at: float = 0.0
     proposed: bool = False
@@ -73,10 +79,11 @@
         for member in state.electorate if state is not None else ():
             if member.ip != context.settings.ip:
                 context.execute(PushBody(member.ip, event.id, event.body))
-        self._begin(event.ticket, SetConfiguration(event.id))
+        call = self.pending[event.ticket] = Call(context.now)
+        self._begin(event.ticket, call, SetConfiguration(event.id))
 
     def submit_evacuation(self, event: EvacuationSubmitted, was_suspended: bool) -> None:
-        """Has an evacuation decided.
+        """Has an evacuation decided, once the state of its zone is confirmed.
 
         One that came while the process was suspended may have been followed by a later one elsewhere, and gets no clear
         answer. Configurations have versions and need no such care.
@@ -84,7 +91,7 @@
         if was_suspended:
             self.context.execute(CompleteCall(event.ticket, 503))
             return
-        self._begin(event.ticket, SetEvacuation(event.zone, event.evacuated))
+        self.pending[event.ticket] = Call(self.context.now, order=event)
 
     def read(self, event: ReadRequested) -> None:
         """A read waits until a majority confirms that nothing newer is decided."""
@@ -95,20 +102,34 @@
         if self.pending.pop(event.ticket, None) is not None:
             self.context.execute(CompleteCall(event.ticket, 503))
 
-    def complete(self, ticket: int, conflicting: ConfigurationId | None) -> None:
-        """The change of that call is decided, or `conflicting` is stored under its version."""
-        if self.pending.pop(ticket, None) is None:
+    def confirmed(self, ticket: int, call: Call) -> None:
+        """A majority confirmed, after the call came, that nothing newer is decided than what is known here."""
+        if call.order is None:
+            self._complete_read(ticket)
+        else:
+            self._begin_evacuation(ticket, call, call.order)
+
+    def _begin_evacuation(self, ticket: int, call: Call, order: EvacuationSubmitted) -> None:
+        state = self.learner.state
+        assert state is not None, "a majority confirmed it"
+        last = state.evacuation(order.zone)
+        if last.evacuated == order.evacuated:
+            self._complete(ticket, 200)
             return
-        status = 200 if conflicting is None else 409
-        self.context.execute(CompleteCall(ticket, status, conflicting=conflicting))
+        self._begin(ticket, call, SetEvacuation(order.zone, order.evacuated, last.count))
+
+    def _complete(self, ticket: int, status: int, conflicting: ConfigurationId | None = None) -> None:
+        """Answers a call that still waits. `conflicting`: with 409, what is stored under its version."""
+        if self.pending.pop(ticket, None) is not None:
+            self.context.execute(CompleteCall(ticket, status, conflicting=conflicting))
 
     def lease_holder(self) -> str | None:
         """The ip of another replica that holds the lease; None: there is none, or it is held here."""
         return None if self.leadership.is_leader() else self.peers.lease_holder(self.context.now)
 
-    def _begin(self, ticket: int, change: SetConfiguration | SetEvacuation) -> None:
+    def _begin(self, ticket: int, call: Call, change: SetConfiguration | SetEvacuation) -> None:
         context = self.context
-        call = self.pending[ticket] = Call(context.now, change)
+        call.change = change
         holder = self.lease_holder()
         if holder is None:
             self._propose_call(ticket, call, change)
@@ -122,14 +143,15 @@
         self._propose(CallKey(ticket), change)
 
     def _propose(self, key: ChangeKey, change: AnyChange) -> None:
-        """An evacuation that comes into force late might undo a later one; a configuration has a version and can't."""
+        """An evacuation is not begun once its caller waits no longer, and may send the contrary order."""
         timeout = CALL_TIMEOUT if isinstance(change, SetEvacuation) else CHANGE_TIMEOUT
         self.proposer.submit(self.context.now, key, change, timeout)
 
     # Forwarded changes -----------------------------------------------------------------------------------------------
 
     def on_forwarded(self, ip: str, message: ForwardedChange) -> None:
-        """Another replica forwards a change to us, as the lease holder."""
+        """Another replica forwards a change to us, as the lease holder. An old one is dropped, so that a change without a clear
+        answer is decided soon or never."""
         context = self.context
         if self.peers.sent_within(
             context.now, FORWARDED_WITHIN, message.acknowledged_incarnation, message.acknowledged
@@ -139,18 +161,23 @@
     def on_forwarded_result(self, message: ForwardedChangeResult) -> None:
         """The lease holder tells what became of a change that we forwarded."""
         if message.incarnation == self.context.incarnation:
-            self.complete(message.key, message.conflicting)
+            status = 200 if message.conflicting is None else 409
+            self._complete(message.key, status, message.conflicting)
 
     def on_outcome(self, outcome: Outcome, revision: int) -> None:
         """A change that was proposed here is decided or rejected. `revision`: of the decided state."""
         self._report(outcome, revision)
         rejection = outcome.rejection
         conflicting = rejection.conflicting if isinstance(rejection, VersionConflictError) else None
+        is_outdated = rejection is not None and conflicting is None
         match outcome.key:
             case CallKey(ticket):
-                self.complete(ticket, conflicting)
+                # An order that a contrary one followed while it was under way gets no clear answer.
+                status = 503 if is_outdated else 200 if conflicting is None else 409
+                self._complete(ticket, status, conflicting)
             case ForwardedKey(ip, incarnation, key):
-                self.context.send(ip, ForwardedChangeResult(key, incarnation, conflicting))
+                if not is_outdated:  # else the replica that was asked finds the later order in the state
+                    self.context.send(ip, ForwardedChangeResult(key, incarnation, conflicting))
 
     def _report(self, outcome: Outcome, revision: int) -> None:
         change, key = outcome.change, outcome.key
@@ -162,21 +189,37 @@
 
     # What waits ------------------------------------------------------------------------------------------------------
 
-    def has_slow_read(self, patience: float) -> bool:
-        """Has a read waited longer than that?"""
+    def has_slow_confirmation(self, patience: float) -> bool:
+        """Has a call waited longer than that for a majority to confirm the state?"""
         now = self.context.now
         return any(call.change is None and now - call.since > patience for call in self.pending.values())
 
     def follow_up(self, ticket: int, call: Call) -> None:
         """Completes a change that was decided elsewhere; proposes one that the lease holder did not get decided."""
         change, waited = call.change, self.context.now - call.since
-        if isinstance(change, SetConfiguration) and self.learner.was_decided(change.id):
-            self.complete(ticket, None)
-        elif change is not None and not call.proposed and FORWARD_TIMEOUT <= waited < CALL_TIMEOUT:
+        if change is None:
+            return
+        status = self._status_elsewhere(change)
+        if status is not None:
+            self._complete(ticket, status)
+        elif not call.proposed and FORWARD_TIMEOUT <= waited < CALL_TIMEOUT:
             self._propose_call(ticket, call, change)
 
-    def complete_read(self, ticket: int) -> None:
-        """Answers a read with the configuration in force."""
+    def _status_elsewhere(self, change: SetConfiguration | SetEvacuation) -> int | None:
+        """The status of a call whose change was decided elsewhere, or of an evacuation that a contrary order followed; None: it
+        is still open."""
+        if isinstance(change, SetConfiguration):
+            return 200 if self.learner.was_decided(change.id) else None
+        state = self.learner.state
+        last = state.evacuation(change.zone) if state is not None else None
+        if last is None or last.count == change.count:
+            return None
+        return 200 if last.evacuated == change.evacuated else 503
+
+    def _complete_read(self, ticket: int) -> None:
+        """Answers a read with the configuration in force, unless its bytes are still on the way."""
+        if not self.learner.is_published():
+            return
         del self.pending[ticket]
         state = self.learner.state
         body = self.bodies.content(state.configuration) if state is not None else None
--- a/fernyard/cluster/control_plane/replica.py
+++ b/fernyard/cluster/control_plane/replica.py
@@ -338,17 +338,21 @@
         self.learner.learn_from_votes(self.vote)
         self._finish_undecided()
         self._propose_due(self.leadership.due_finish(self.state))
-        if not self.proposer.is_idle():
-            self._multicast(self.proposer.due(self.context.now, self.learner.newest_known(self.vote)))
-        self._handle_local_messages()
+        self._propose_pending()
         self._synchronize_bodies()
         self._publish()
         self._complete_calls()
+        self._propose_pending()
 
     def _handle_local_messages(self) -> None:
         while self.context.local_messages:
             self._handle_message(self.context.settings.ip, self.context.local_messages.popleft())
 
+    def _propose_pending(self) -> None:
+        if not self.proposer.is_idle():
+            self._multicast(self.proposer.due(self.context.now, self.learner.newest_known(self.vote)))
+        self._handle_local_messages()
+
     def _propose_due(self, due: DueChange | None) -> None:
         if due is not None:
             self.proposer.submit(self.context.now, due.key, due.change)
@@ -366,7 +370,7 @@
             return
         if self._unfinished_since is None:
             self._unfinished_since = now
-        patience = READ_RETRY if self.calls.has_slow_read(READ_RETRY) else FINISH_AFTER
+        patience = READ_RETRY if self.calls.has_slow_confirmation(READ_RETRY) else FINISH_AFTER
         if now - self._unfinished_since >= patience + FINISH_STAGGER * self._rank():
             self._unfinished_since = now
             self.proposer.submit(now, CONFIRMATION, Confirm())
@@ -427,17 +431,16 @@
     def _complete_calls(self) -> None:
         for ticket, call in list(self.calls.pending.items()):
             if call.change is None:
-                self._complete_read(ticket, call)
+                self._confirm(ticket, call)
             else:
                 self.calls.follow_up(ticket, call)
 
-    def _complete_read(self, ticket: int, call: Call) -> None:
-        """A read is answered once a majority confirmed, after the read came, that nothing newer is decided."""
+    def _confirm(self, ticket: int, call: Call) -> None:
+        """A read is answered, and an evacuation begins, once a majority confirmed, after the call came, that nothing newer is
+        decided."""
         at, now = self.confirmed_at, self.context.now
-        if at is None or at < call.since:
-            if now - call.requested_at >= READ_RETRY:
-                call.requested_at = now
-                self._send_heartbeats(urgent=True)
-            return
-        if self.learner.is_published():  # else its configuration is on the way
-            self.calls.complete_read(ticket)
+        if at is not None and at >= call.since:
+            self.calls.confirmed(ticket, call)
+        elif now - call.requested_at >= READ_RETRY:
+            call.requested_at = now
+            self._send_heartbeats(urgent=True)
--- a/fernyard/cluster/control_plane/state.py
+++ b/fernyard/cluster/control_plane/state.py
@@ -89,6 +89,11 @@
         """Names of the zones that receive no traffic."""
         return [evacuation.zone for evacuation in self.evacuations if evacuation.evacuated]
 
+    def evacuation(self, zone: str) -> ZoneEvacuation:
+        """The last change to a zone; its count is 0 where there was none."""
+        unchanged = ZoneEvacuation(zone, 0, False)
+        return next((evacuation for evacuation in self.evacuations if evacuation.zone == zone), unchanged)
+
     @property
     def electorate(self) -> tuple[Member, ...]:
         """All whose votes count, in a stable order."""
@@ -124,7 +129,7 @@
 
 
 class OutdatedChangeError(ChangeRejectedError):
-    """The change was proposed under an epoch or a term that has passed."""
+    """The change was made for an epoch, a term or a state of a zone that has passed."""
 
 
 class Change(msgspec.Struct, array_like=True, frozen=True, tag=True):
@@ -158,18 +163,25 @@
 
 
 class SetEvacuation(Change, tag="SetEvacuation", frozen=True):
-    """Evacuates a zone, or takes it back into service."""
+    """Evacuates a zone, or takes it back into service, in place of the last of `count` changes to it.
+
+    An order has no version of its own, and copies of it may arrive late; `count` is read after the order came, so that no copy
+    applies once a later order is decided. None: the copy comes from a build that did not compare it.
+    """
 
     zone: str
     evacuated: bool
+    count: int | None = None
 
     def apply(self, state: ControlState) -> ControlState:
-        """Nothing changes where the zone is so already."""
-        if (self.zone in state.evacuated_zones) == self.evacuated:
+        """Nothing changes where the zone is so already. Raises OutdatedChangeError where the zone was changed since."""
+        last = state.evacuation(self.zone)
+        if last.evacuated == self.evacuated:
             return state
-        last = next((evacuation for evacuation in state.evacuations if evacuation.zone == self.zone), None)
-        others = [evacuation for evacuation in state.evacuations if evacuation is not last]
-        following = ZoneEvacuation(self.zone, last.count + 1 if last else 1, self.evacuated)
+        if self.count is not None and self.count != last.count:
+            raise OutdatedChangeError(f"{self.zone} was changed since")
+        others = [evacuation for evacuation in state.evacuations if evacuation.zone != self.zone]
+        following = ZoneEvacuation(self.zone, last.count + 1, self.evacuated)
         return _changed(state, evacuations=tuple(sorted([*others, following])))
 
 
