Control plane: an order whose caller has left is not begun

What callers saw, in a trial: an order to take a zone back was held up for 2 s on its way to one control plane, as a cut does; its caller gave up after 1 s, gave it to another one, and evacuated the zone again, both acknowledged. When the held bytes arrived, with the close behind them, the zone was taken back.

The calls of operators were answered to the end whether or not their caller was still there, and the state of the zone is read when the order is.

Change: at the control address a handler is cancelled when its caller closes the connection, and its call ends at the replica. The zone is read as of 0.1 s after the order came, so that a close one round trip behind is seen first. Why this works: an order is begun only while its caller waits for it, so that no later one of that caller can have been given; one that is given later is compared by the count. Left: a close that comes more than 0.1 s and one exchange behind.

--- a/fernyard/cluster/common/transport.py
+++ b/fernyard/cluster/common/transport.py
@@ -67,9 +67,15 @@
 
 
 async def serve(
-    handle: Callable[[BaseRequest], Awaitable[HttpAnswer]], address: Address, body_limit: int = BODY_LIMIT
+    handle: Callable[[BaseRequest], Awaitable[HttpAnswer]],
+    address: Address,
+    body_limit: int = BODY_LIMIT,
+    cancels_abandoned: bool = False,
 ) -> asyncio.Server:
-    """An HTTP server at `address`; an exception of `handle` is logged and answered 500."""
+    """An HTTP server at `address`; an exception of `handle` is logged and answered 500.
+
+    `cancels_abandoned`: `handle` is cancelled when its caller closes the connection.
+    """
 
     async def answer(request: BaseRequest) -> Response:
         try:
@@ -86,5 +92,5 @@
     def make_request(message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> BaseRequest:
         return BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=body_limit)
 
-    server = Server(answer, request_factory=make_request, access_log=None, handler_cancellation=False)
+    server = Server(answer, request_factory=make_request, access_log=None, handler_cancellation=cancels_abandoned)
     return await loop.create_server(server, *address, backlog=BACKLOG, reuse_address=True)
--- a/fernyard/cluster/control_plane/events.py
+++ b/fernyard/cluster/control_plane/events.py
@@ -32,7 +32,7 @@
 
 
 class CallExpired(msgspec.Struct, frozen=True):
-    """The caller waits no longer; it is answered 503, and its change may or may not come into force."""
+    """The caller waits no longer or has left; a change that was begun may or may not come into force."""
 
     ticket: int
 
--- a/fernyard/cluster/control_plane/operator_calls.py
+++ b/fernyard/cluster/control_plane/operator_calls.py
@@ -21,6 +21,9 @@
 
 FORWARD_TIMEOUT = 0.5  # until a forwarded change is proposed here as well
 FORWARDED_WITHIN = 2.0  # a change that was forwarded to us longer ago is not proposed any more
+# From the moment at which an evacuation came until the one as of which its zone is read. Bytes that were held up on the way arrive
+# with the close of a caller that has given up, or one round trip before it.
+EVACUATION_DELAY = 0.1
 CALL_TIMEOUT = 1.0  # that a caller waits at most: an older call is not begun any more
 
 
@@ -52,6 +55,11 @@
     requested_at: float = 0.0
     proposed: bool = False
 
+    @property
+    def confirmed_from(self) -> float:
+        """The moment as of which, or later, a majority has to confirm the state."""
+        return self.since + (EVACUATION_DELAY if self.order is not None else 0.0)
+
 
 class OperatorCalls:
     """Calls that wait, by ticket."""
@@ -83,7 +91,8 @@
         self._begin(event.ticket, call, SetConfiguration(event.id))
 
     def submit_evacuation(self, event: EvacuationSubmitted, was_suspended: bool) -> None:
-        """Has an evacuation decided, once the state of its zone is confirmed.
+        """Has an evacuation decided, once the state of its zone is confirmed, unless the caller has left by then: it may have
+        given its order elsewhere, and a later one too.
 
         One that came while the process was suspended may have been followed by a later one elsewhere, and gets no clear
         answer. Configurations have versions and need no such care.
--- a/fernyard/cluster/control_plane/process.py
+++ b/fernyard/cluster/control_plane/process.py
@@ -129,7 +129,8 @@
         log.info("Control plane has stopped.")
 
     async def _serve(self, bind: Bind, address: Address) -> None:
-        self._servers.append(await serve(self.api.handler(bind), address, MAX_CONFIGURATION_BYTES))
+        is_control = bind is Bind.CONTROL
+        self._servers.append(await serve(self.api.handler(bind), address, MAX_CONFIGURATION_BYTES, is_control))
 
     async def _hand_over(self) -> None:
         """Goes on until another votes in our place, where one waits to; not past the time of the kill."""
@@ -158,7 +159,8 @@
             self.executor.execute(command)
 
     async def call(self, make_event: Callable[[int], Event]) -> CompleteCall:
-        """The replica's answer to one call, within the time that its caller waits. `make_event(ticket)` gives the event."""
+        """The replica's answer to one call, within the time that its caller waits. `make_event(ticket)` gives the event. Cancelled
+        when the caller leaves."""
         self._tickets += 1
         ticket = self._tickets
         answer: asyncio.Future[CompleteCall] = self.loop.create_future()
@@ -168,6 +170,9 @@
         self.handle_event(make_event(ticket))
         try:
             return await answer
+        except asyncio.CancelledError:
+            self.handle_event(CallExpired(ticket))
+            raise
         finally:
             timer.cancel()
             ticks.cancel()
--- a/fernyard/cluster/control_plane/replica.py
+++ b/fernyard/cluster/control_plane/replica.py
@@ -439,8 +439,8 @@
         """A read is answered, and an evacuation begins, once a majority confirmed, after the call came, that nothing newer is
         decided."""
         at, now = self.confirmed_at, self.context.now
-        if at is not None and at >= call.since:
+        if at is not None and at >= call.confirmed_from:
             self.calls.confirmed(ticket, call)
-        elif now - call.requested_at >= READ_RETRY:
+        elif now >= call.confirmed_from and now - call.requested_at >= READ_RETRY:
             call.requested_at = now
             self._send_heartbeats(urgent=True)
