--- a/tests/cluster/control_planes.py
+++ b/tests/cluster/control_planes.py
@@ -387,14 +387,19 @@
 
     # Operators -------------------------------------------------------------------------------------------------------
 
-    def _call(self, name: str, call: Put | Evacuate | Get, make_event: Callable[[int], events.Event]) -> Answer:
-        """One call at one machine; the answer is filled in when it comes. `make_event(ticket)` gives the event."""
+    def _call(
+        self, name: str, call: Put | Evacuate | Get, make_event: Callable[[int], events.Event], leaves: bool = True
+    ) -> Answer:
+        """One call at one machine; the answer is filled in when it comes. `make_event(ticket)` gives the event; `leaves`: the
+        machine sees that a caller which waited in vain has closed its connection."""
         machine, answer = self.machines[name], Answer(call, name, self.now)
         self.answers.append(answer)
         self._number += 1
         ticket = self._number
         self._tickets[ticket] = answer
         self._take_call(machine, make_event(ticket), ticket)
+        if leaves:
+            self._at(self.now + CALLER_WAITS, self._expire, machine, machine.incarnation, ticket)
         return answer
 
     def _take_call(self, machine: Machine, event: events.Event, ticket: int) -> None:
@@ -422,10 +427,10 @@
         id = ConfigurationId.of(version, body)
         return self._call(name, Put(id), lambda ticket: events.ConfigurationSubmitted(ticket, id, body))
 
-    def evacuate(self, name: str, zone: str, evacuated: bool = True) -> Answer:
-        """Evacuates a zone, or takes it back."""
+    def evacuate(self, name: str, zone: str, evacuated: bool = True, leaves: bool = True) -> Answer:
+        """Evacuates a zone, or takes it back; `leaves` as in `_call`."""
         call = Evacuate(zone, evacuated)
-        return self._call(name, call, lambda ticket: events.EvacuationSubmitted(ticket, zone, evacuated))
+        return self._call(name, call, lambda ticket: events.EvacuationSubmitted(ticket, zone, evacuated), leaves)
 
     def get(self, name: str) -> Answer:
         """Reads the configuration in force."""
--- a/tests/cluster/test_control_guards.py
+++ b/tests/cluster/test_control_guards.py
@@ -163,9 +163,10 @@
 
 
 def order_from_before():
+    """The close of the caller, which has left long ago, is still on its way."""
     planes = begun()
     planes.suspend("a")
-    planes.evacuate("a", "z1")
+    planes.evacuate("a", "z1", leaves=False)
     planes.run(20.0)
     planes.finish(planes.evacuate("b", "z1"))
     planes.finish(planes.evacuate("b", "z1", False))
