Internal calls: a body over its limit is answered 413

What callers saw: a configuration of more than 64 MiB was answered 500, which a caller sends again for ever; PROTOCOL ends a call at 413.

Cause: the exception of the reader for a body that is too long fell under 'the handler of a call failed'. Change: it is answered with its own status.

--- a/fernyard/cluster/common/transport.py
+++ b/fernyard/cluster/common/transport.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response
 from aiohttp.web_server import Server
@@ -72,7 +73,7 @@
     body_limit: int = BODY_LIMIT,
     cancels_abandoned: bool = False,
 ) -> asyncio.Server:
-    """An HTTP server at `address`; an exception of `handle` is logged and answered 500.
+    """An HTTP server at `address`; an exception of `handle` is logged and answered 500, and a body that is too long 413.
 
     `cancels_abandoned`: `handle` is cancelled when its caller closes the connection.
     """
@@ -82,6 +83,8 @@
             status, body, headers = await handle(request)
         except (ConnectionError, asyncio.CancelledError):
             raise
+        except HTTPRequestEntityTooLarge as error:
+            status, body, headers = error.status, b"", None
         except Exception:
             log.exception("The handler of a call failed.", path=request.path)
             status, body, headers = 500, b"", None
