Control plane: what is acknowledged is of the types that gateways read

A configuration with a truth value for a rank was acknowledged, and no gateway could read it: all stayed with the version before it, and one that was restarted served nothing.

Cause: pyserde's check takes a truth value for a whole number and looks at one item of each list, drawn at random; ours tested ranges alone; the gateways' decoder is strict. Evidence: odd values at every place of a valid configuration; also taken were a text or an object in place of a list, and a list in place of a kind ended the call with 500.

Change: types are compared exactly with the annotations of the classes before anything is made of the value, each mismatch named by its place, and the plan is taken through the gateways' own decoder, from which it has to come back unchanged. Why this works: the second is the very reading that gateways do, so nothing is acknowledged that one of the same build refuses, and nothing is drawn by chance.

--- a/fernyard/cluster/control_plane/configuration.py
+++ b/fernyard/cluster/control_plane/configuration.py
@@ -1,24 +1,34 @@
 """The operator's configuration: read and checked with pyserde, and turned into the plan that gateways follow.
 
-The fields of the classes below are those of the operators' pages (PROTOCOL); times are seconds.
+What `read` takes, every gateway can read: its types are those of the classes below, and its plan comes through the gateways' decoder
+unchanged. The fields of the classes below are those of the operators' pages (PROTOCOL); times are seconds.
 """
 
 import re
+from typing import Any
 
 import msgspec
-from serde import SerdeError, field, serde
-from serde.json import from_json
+from serde import SerdeError, disabled, field, from_dict, serde
 
 from ..common.errors import ConfigurationError
-from ..common.messages import Plan, Route, Service, Tenant
+from ..common.messages import (
+    ConfigurationUpdate,
+    Plan,
+    Route,
+    Service,
+    Tenant,
+    decode_configuration_update,
+    encode,
+)
 from .state import ConfigurationId
+from .strict_types import find_mismatch
 
 KINDS = ("idempotent", "mutating", "egress")
 VERSION = re.compile("[0-9a-fA-F]{8}")
 MAX_NUMBER = 2.0**53  # of all numbers: whole ones are exact up to here, in JSON as in a double
 
 
-@serde(rename_all="camelcase")
+@serde(rename_all="camelcase", type_check=disabled)  # `strict_types` checks
 class Svc:
     """A service. `cold_s`, `cold_rate_s`: its workers' slow start."""
 
@@ -29,7 +39,7 @@
     cold_rate_s: float = 0.0
 
 
-@serde(rename_all="camelcase")
+@serde(rename_all="camelcase", type_check=disabled)
 class Caps:
     """Bounds on what a client may send, in bytes, and on how long it may take."""
 
@@ -39,7 +49,7 @@
     idle_timeout_s: float = 15.0
 
 
-@serde(rename_all="camelcase")
+@serde(rename_all="camelcase", type_check=disabled)
 class Account:
     """A tenant, its keys and its quota."""
 
@@ -51,7 +61,7 @@
     home_regions: list[str] = field(default_factory=list)
 
 
-@serde(rename_all="camelcase")
+@serde(rename_all="camelcase", type_check=disabled)
 class Share:
     """The weight of one service in the split of a route."""
 
@@ -59,7 +69,7 @@
     weight: float
 
 
-@serde(rename_all="camelcase")
+@serde(rename_all="camelcase", type_check=disabled)
 class Path:
     """A route of a host: `timeout_s` for an answer, `target_s` the latency target."""
 
@@ -76,7 +86,7 @@
     home_regions: list[str] = field(default_factory=list)
 
 
-@serde(rename_all="camelcase")
+@serde(rename_all="camelcase", type_check=disabled)
 class Vhost:
     """A host and its routes."""
 
@@ -84,7 +94,7 @@
     paths: list[Path] = field(default_factory=list)
 
 
-@serde(rename_all="camelcase")
+@serde(rename_all="camelcase", type_check=disabled)
 class Configuration:
     """One configuration, complete."""
 
@@ -96,37 +106,58 @@
 
 
 def read(body: bytes) -> tuple[ConfigurationId, Configuration]:
-    """A configuration as an operator sends it (JSON), checked completely.
+    """A configuration as an operator sends it (JSON), checked completely; the verdict on the same bytes is always the same.
 
     Raises ConfigurationError, which says what is wrong with it.
     """
-    id, configuration = parse(body)
+    value = _decode(body)
+    mismatch = find_mismatch(value, Configuration)
+    if mismatch is not None:
+        raise ConfigurationError(f"not {mismatch.expected}", mismatch.where or "the whole")
+    id, configuration = _parse(body, value)
     _check_services(configuration.svcs)
     _check_caps(configuration.caps)
     _check_accounts(configuration.accounts or [])
     _check_routes(configuration.vhosts, {service.name for service in configuration.svcs})
+    check_plan(plan_of(id, configuration))
     return id, configuration
 
 
 def parse(body: bytes) -> tuple[ConfigurationId, Configuration]:
     """The same without the checks, for a body that was acknowledged before: it stays in force, also where an earlier
     build of this program checked less."""
+    return _parse(body, _decode(body))
+
+
+def check_plan(plan: Plan) -> None:
+    """Raises ConfigurationError for a plan that a gateway would not read as it is."""
+    update = ConfigurationUpdate(0, plan, [])
+    try:
+        if decode_configuration_update(encode(update)) == update:
+            return
+        complaint = "gateways would read it differently"
+    except (msgspec.MsgspecError, ValueError, TypeError, OverflowError) as error:
+        complaint = f"gateways could not read it: {str(error)[:200]}"
+    raise ConfigurationError(complaint)
+
+
+def _decode(body: bytes) -> Any:
+    """The value of JSON bytes. Raises ConfigurationError for what is cut short or no JSON."""
     try:
-        configuration: Configuration = from_json(Configuration, _json_text(body))
-    except (SerdeError, ValueError, TypeError, RecursionError, OverflowError) as error:
+        return msgspec.json.decode(body)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise _unreadable(error) from error
-    if VERSION.fullmatch(configuration.ver) is None:
-        raise ConfigurationError("ver is not of eight hexadecimal digits", configuration.ver)
-    return ConfigurationId.of(int(configuration.ver, 16), body), configuration
 
 
-def _json_text(body: bytes) -> str:
-    """Text of JSON; msgspec refuses what is cut short or no JSON, whatever is lenient further on."""
+def _parse(body: bytes, value: Any) -> tuple[ConfigurationId, Configuration]:
     try:
-        msgspec.json.decode(body, type=msgspec.Raw)
-        return body.decode()
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        configuration = from_dict(Configuration, value)
+        is_numbered = VERSION.fullmatch(configuration.ver) is not None
+    except (SerdeError, ValueError, TypeError, AttributeError, LookupError, RecursionError) as error:
         raise _unreadable(error) from error
+    if not is_numbered:
+        raise ConfigurationError("ver is not of eight hexadecimal digits", configuration.ver)
+    return ConfigurationId.of(int(configuration.ver, 16), body), configuration
 
 
 def _unreadable(error: Exception) -> ConfigurationError:
