Gateways take the rest of an update whose configuration they cannot read

Cause: a plan that cannot be decoded counted as a failed call, to be tried elsewhere without a word.

Change: a gateway decodes the plan by itself; if that fails it logs W202, counts it, keeps its plan, takes evacuations and registry, and hands nothing on to neighbours until it has all that is in force.

--- a/fernyard/cluster/common/errors.py
+++ b/fernyard/cluster/common/errors.py
@@ -34,6 +34,15 @@
     CODE, DO = "W201", "read what is held with GET /-/config, and send yours under a higher number"
 
 
+class UnreadablePlanError(ClusterError):
+    """A gateway was sent a configuration that it cannot read; it keeps the one that it has."""
+
+    CODE, DO = (
+        "W202",
+        "restart the gateway on the build of the control planes, or send a configuration that it can read",
+    )
+
+
 class StoreError(ClusterError):
     """The disk did not store what it was given."""
 
--- a/fernyard/cluster/common/messages.py
+++ b/fernyard/cluster/common/messages.py
@@ -174,6 +174,14 @@
     evacuated: list[str]
 
 
+class EncodedConfigurationUpdate(msgspec.Struct, array_like=True):
+    """`ConfigurationUpdate` with its plan not decoded yet, so that one that cannot be read does not keep the rest back."""
+
+    revision: int
+    plan: msgspec.Raw
+    evacuated: list[str]
+
+
 class Worker(msgspec.Struct, array_like=True):
     """An endpoint. `capacity` in concurrent requests; `cold_until` (end of its slow start) in the clock of the sender."""
 
@@ -208,4 +216,6 @@
 
 
 decode_configuration_update = msgspec.msgpack.Decoder(ConfigurationUpdate).decode
+decode_encoded_update = msgspec.msgpack.Decoder(EncodedConfigurationUpdate).decode
+decode_plan = msgspec.msgpack.Decoder(Plan | None).decode
 decode_registry_update = msgspec.msgpack.Decoder(RegistryUpdate).decode
--- a/fernyard/cluster/data_plane/metrics.py
+++ b/fernyard/cluster/data_plane/metrics.py
@@ -26,7 +26,7 @@
 
     `forwarded`: attempts; `unserved`: answers 502, 503 and 504 of our own; `clients_gone`: clients that left, by stage;
     `abandoned`: attempts that ended after nobody waited for them any more, by how they ended; `abandoned_seconds`: for how long
-    those went on, in sum, and `longest_abandoned` at most.
+    those went on, in sum, and `longest_abandoned` at most; `unreadable_plans`: updates whose configuration could not be read.
     """
 
     forwarded: int = 0
@@ -35,6 +35,7 @@
     abandoned: Counter[str] = attrs.Factory(Counter)
     abandoned_seconds: float = 0.0
     longest_abandoned: float = 0.0
+    unreadable_plans: int = 0
 
     def record_client_gone(self, stage: ClientStage) -> None:
         """A client left."""
@@ -55,6 +56,7 @@
         f"{PREFIX}unserved_total {metrics.unserved}",
         f"{PREFIX}abandoned_seconds_total {metrics.abandoned_seconds:.3f}",
         f"{PREFIX}abandoned_seconds_max {metrics.longest_abandoned:.3f}",
+        f"{PREFIX}unreadable_plans_total {metrics.unreadable_plans}",
     ]
     lines += _labelled("clients_gone_total", "stage", metrics.clients_gone)
     lines += _labelled("abandoned_total", "end", metrics.abandoned)
--- a/fernyard/cluster/data_plane/process.py
+++ b/fernyard/cluster/data_plane/process.py
@@ -67,6 +67,7 @@
         self.datagrams = Datagrams(self._on_message)
         self.updates = UpdateClient(settings.ports[0])
         self.draining = False
+        self.holds_plan_in_force = True  # false while the last update had one that could not be read
         self._tasks: set[asyncio.Task[None]] = set()  # referred to, or they may be collected before they end
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at: float | None = None
@@ -268,8 +269,12 @@
     async def _pull_configuration(self, pull: Pull) -> None:
         routes = self.router.routes
         plan_id = routes.plan.id if routes is not None else ""
-        update = await self.updates.configuration(pull, self.router.revision, plan_id)
-        self.handle_event(ConfigurationChanged(update))
+        received = await self.updates.configuration(pull, self.router.revision, plan_id)
+        self.holds_plan_in_force = received.unreadable is None
+        if received.unreadable is not None:
+            self.router.metrics.unreadable_plans += 1
+            log.warning("A configuration cannot be read, the previous one stays.", **received.unreadable.fields())
+        self.handle_event(ConfigurationChanged(received.update))
         if self.router.routes is not None:
             self.listener.apply_caps(self.router.routes.plan)
 
@@ -290,8 +295,9 @@
         return 404, b"", None
 
     def _relay_configuration(self, request: BaseRequest) -> HttpAnswer:
-        """503 where no control plane has confirmed of late what we have: the neighbour asks one itself."""
-        if self.router.routes is None or not self.subscriber.may_relay(self.now()):
+        """503 where no control plane has confirmed of late what we have, or it is not all that is in force: the neighbour asks one
+        itself."""
+        if self.router.routes is None or not self.holds_plan_in_force or not self.subscriber.may_relay(self.now()):
             return 503, b"", None
         plan = self.router.routes.plan
         newer = plan if request.query.get("held") != plan.id else None
--- a/fernyard/cluster/data_plane/update_client.py
+++ b/fernyard/cluster/data_plane/update_client.py
@@ -3,13 +3,16 @@
 from collections.abc import Mapping
 
 import aiohttp
+import attrs
 import msgspec
 
+from ..common.errors import UnreadablePlanError
 from ..common.messages import (
     ConfigurationUpdate,
     RegistryUpdate,
     RegistryVersion,
-    decode_configuration_update,
+    decode_encoded_update,
+    decode_plan,
     decode_registry_update,
 )
 from .subscription import Pull
@@ -17,6 +20,26 @@
 FETCH_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError)
 
 
+@attrs.frozen
+class ReceivedConfiguration:
+    """An update of the configuration. `unreadable`: why its plan is left out, if it could not be read."""
+
+    update: ConfigurationUpdate
+    unreadable: UnreadablePlanError | None = None
+
+
+def read_update(body: bytes) -> ReceivedConfiguration:
+    """The update in a body; a plan that cannot be read does not keep the rest back. Raises msgspec.MsgspecError for any other fault."""
+    encoded = decode_encoded_update(body)
+    try:
+        return ReceivedConfiguration(
+            ConfigurationUpdate(encoded.revision, decode_plan(encoded.plan), encoded.evacuated)
+        )
+    except msgspec.MsgspecError as error:
+        rest = ConfigurationUpdate(encoded.revision, None, encoded.evacuated)
+        return ReceivedConfiguration(rest, UnreadablePlanError(f"revision {encoded.revision}: {error}"))
+
+
 class UpdateClient:
     """An HTTP client; `open` it within a running loop, and `close` it. Its calls raise one of FETCH_ERRORS."""
 
@@ -37,10 +60,9 @@
         if self._session is not None:
             await self._session.close()
 
-    async def configuration(self, pull: Pull, revision: int, plan_id: str) -> ConfigurationUpdate:
+    async def configuration(self, pull: Pull, revision: int, plan_id: str) -> ReceivedConfiguration:
         """The configuration in force; `revision`, `plan_id`: what we have."""
-        body = await self._get(pull, "configuration", {"revision": str(revision), "held": plan_id})
-        return decode_configuration_update(body)
+        return read_update(await self._get(pull, "configuration", {"revision": str(revision), "held": plan_id}))
 
     async def registry(self, pull: Pull, since: RegistryVersion) -> RegistryUpdate:
         """The registry since a version."""
--- a/tests/cluster/test_metrics.py
+++ b/tests/cluster/test_metrics.py
@@ -33,6 +33,7 @@
                     "unserved_total 1",
                     "abandoned_seconds_total 0.250",
                     "abandoned_seconds_max 0.250",
+                    "unreadable_plans_total 0",
                     'abandoned_total{end="cancelled"} 1',
                 ]
             ),
