Lease: a request that a voter did not answer is sent again

Cause: one lost answer to a request for the lease cost 1.6 s, as the candidate's own vote is bound to it meanwhile, and the silence of a lost member is counted only from the start of a term; together that passed the 4 s.

Change: a candidate sends an open request again every 0.15 s to voters that did not answer, for 0.45 s at most, so that the votes are free before its next one. Why this is safe: the lease counts from the first time the request was sent, and a vote from the last.

--- a/fernyard/cluster/common/lease.py
+++ b/fernyard/cluster/common/lease.py
@@ -11,6 +11,10 @@
 SAFETY_MARGIN = 0.1  # by which the candidate stops before the votes for it end
 RENEW_INTERVAL = 0.25
 RANK_STAGGER = 0.3  # between the first requests of two candidates
+RESEND_INTERVAL = 0.15  # until voters that did not answer are asked again
+RESENT_WITHIN = (
+    0.45  # of a request: votes have to be free again before a candidate that hears no answers makes its next one
+)
 
 
 class LeaseTerms(NamedTuple):
@@ -60,6 +64,8 @@
         self.next_request_at = 0.0
         self.failed_requests = 0
         self.refused = False
+        self.answered: list[str] = []
+        self.sent_at = 0.0
         self.highest_epoch_seen = 0
 
     def holds(self, now: float) -> bool:
@@ -95,8 +101,18 @@
             self.next_request_at = now + LEASE_DURATION + 2 * RANK_STAGGER * self.failed_requests
         self.request_id += 1
         self.requested_at, self.grants, self.refused = now, [], False
+        self.answered, self.sent_at = [], now
         return LeaseTerms(self.request_id, self.epoch)
 
+    def resend(self, now: float, voters: Collection[str]) -> list[str]:
+        """The voters to which the last request is sent again: it, or the answer, may be lost, and our own vote is bound meanwhile. The
+        lease counts from the first time it was sent."""
+        is_open = now - self.requested_at < RESENT_WITHIN and not self.refused
+        if self.request_id == 0 or self.holds(now) or not is_open or now - self.sent_at < RESEND_INTERVAL:
+            return []
+        self.sent_at = now
+        return [voter for voter in voters if voter not in self.answered]
+
     def epoch_refused(self, epoch: int) -> None:
         """A voter has seen that higher epoch and grants nothing below it: the next request goes above it.
 
@@ -108,6 +124,7 @@
         """A voter replied to a request; true if the reply made us the lease holder."""
         if terms != (self.request_id, self.epoch) or voter in self.grants or voter not in voters:
             return False
+        self.answered.append(voter)
         if not granted:
             self.next_request_at = min(
                 self.next_request_at, now + RENEW_INTERVAL
--- a/fernyard/cluster/control_plane/lease_manager.py
+++ b/fernyard/cluster/control_plane/lease_manager.py
@@ -37,6 +37,7 @@
         rank = voters.index(self.replica.member)
         terms = self.candidate.next_request(now, rank, self.voter.granted_until, highest_term)
         if terms is None:
+            self._resend(now, voters)
             return
         if self.voter.request(now, self.name, terms.epoch):
             self.candidate.reply(now, self.name, terms, True, self._voter_names())
@@ -44,6 +45,12 @@
             if voter.ip != self.replica.member.ip:
                 self.send(LeaseRequest(self.name, terms.request_id, terms.epoch), voter.ip)
 
+    def _resend(self, now: float, voters: tuple[Member, ...]) -> None:
+        unanswered = self.candidate.resend(now, [str(voter) for voter in voters])
+        for voter in voters:
+            if str(voter) in unanswered and voter.ip != self.replica.member.ip:
+                self.send(LeaseRequest(self.name, self.candidate.request_id, self.candidate.epoch), voter.ip)
+
     def on_request(self, now: float, message: LeaseRequest) -> LeaseReply:
         """A candidate asks for our vote; the reply to send."""
         granted = self.voter.request(now, message.node, message.epoch)
--- a/tests/cluster/test_soft_state.py
+++ b/tests/cluster/test_soft_state.py
@@ -68,6 +68,33 @@
         self.assertThat(held, Equals(["b"]))
         self.assertTrue(candidates["b"].epoch > epoch)
 
+    def test_a_lost_answer_is_asked_for_again(self):
+        """Guards against 1.6 s without a holder for one lost datagram: our own vote is bound to a request that nobody answered."""
+        for lost in (1, 2):
+            candidate, voters = lease.LeaseCandidate("a"), {name: lease.LeaseVoter(0.0, True) for name in "ab"}
+            terms = candidate.next_request(0.0, 0, 0.0, 0)
+            candidate.reply(0.0, "a", terms, voters["a"].request(0.0, "a", terms.epoch), MEMBERS)
+            voters["b"].request(0.0, "a", terms.epoch)  # it is granted, and the answer is lost
+            now = 0.0
+            while not candidate.holds(now) and now < 3.0:
+                now = round(now + 0.05, 6)
+                if "b" in candidate.resend(now, MEMBERS):
+                    granted, lost = voters["b"].request(now, "a", terms.epoch), lost - 1
+                    if not lost:
+                        candidate.reply(now, "b", terms, granted, MEMBERS)
+            self.assertTrue(now < 0.5, now)
+            # It counts from the first time the request was sent, and ends before both votes do.
+            self.assertThat(candidate.held_until, Equals(lease.LEASE_DURATION - lease.SAFETY_MARGIN))
+
+    def test_a_request_that_nobody_answers_leaves_the_votes_free_before_the_next_one(self):
+        candidate, voter = lease.LeaseCandidate("a"), lease.LeaseVoter(0.0, True)
+        terms = candidate.next_request(0.0, 0, 0.0, 0)
+        voter.request(0.0, "a", terms.epoch)
+        for step in range(1, 40):
+            if candidate.resend(0.05 * step, MEMBERS):
+                voter.request(0.05 * step, "a", terms.epoch)
+        self.assertTrue(voter.granted_until < candidate.next_request_at)
+
     def test_all_at_once(self):
         """All begin in the same moment and beat in step: one of them soon holds it, and keeps it."""
         candidates = {name: lease.LeaseCandidate(name) for name in MEMBERS}
