Gateways: what is known of control planes only grows out of date, never to nothing

All control planes were killed, the one that was back first was lost for good; from then on all gateways reported to that one alone, obeyed the last configuration that they had, and look-ups were answered 503.

Cause: a gateway put the list of any reply in place of all that it knew, and a control plane that was just started names itself alone.

Change: a directory keeps the last list from one in touch with a majority, reports of others, seeds and earlier lists apart; only the first is replaced, only by its like, and the others are tried, a few at a time and ever later, while nobody answers. The settings file is read again meanwhile. A control plane that was started again names and seeks those that voted when its disk was written. Why this works: as long as one address that was ever known, or that the settings file names, is a control plane's, it is asked again within seconds.

--- a/fernyard/cluster/control_plane/replica.py
+++ b/fernyard/cluster/control_plane/replica.py
@@ -175,10 +175,12 @@
         return self.leadership.term(self.state)
 
     def known_ips(self) -> list[str]:
-        """Where the replicas are that vote or were in touch of late, ours included."""
+        """Where the replicas are that vote or were in touch of late, ours included. After a start, until a majority is found, those
+        that voted when our disk was last written."""
         ips = {peer.member.ip for peer in self.peers.known(self.context.now)}
-        if self.state is not None:
-            ips.update(member.ip for member in self.state.electorate)
+        known = self.learner.newest_known(self.vote)
+        if known is not None:
+            ips.update(member.ip for member in known.state.electorate)
         return sorted(ips | {self.context.settings.ip})
 
     def other_ips(self) -> list[str]:
--- a/fernyard/cluster/data_plane/process.py
+++ b/fernyard/cluster/data_plane/process.py
@@ -12,7 +12,6 @@
 from aiohttp.web_request import BaseRequest
 
 from ...log import Counts
-from ..common import rendezvous
 from ..common.errors import ClusterError
 from ..common.logs import ComponentLogger
 from ..common.messages import (
@@ -29,6 +28,7 @@
 from ..common.settings import Settings, read as read_settings
 from ..common.transport import Address, Datagrams, HttpAnswer, serve
 from .commands import AnswerRequest, CancelAttempt, Command, ForwardRequest, RelayAnswer, SendCount
+from .control_plane_directory import ControlPlaneDirectory
 from .counter import CounterTable
 from .events import ConfigurationChanged, CountAnswered, RegistryChanged, RouterEvent, Tick
 from .limits import ACCEPT_AFTER_STOP, BYTES_PER_MBIT, limits
@@ -44,7 +44,7 @@
 # Times in seconds.
 HEARTBEAT_INTERVAL = 0.3
 CATCH_UP_INTERVAL = HEARTBEAT_INTERVAL / 2  # while something is missing here
-WATCHERS = 5  # control planes that watch one gateway
+REREAD_INTERVAL = 2.0  # of the settings file, while no control plane is found
 LAST_ANSWERS = 0.4  # before the kill, all is written
 LAST_ACCEPTS = 1.0  # before that, no more connections are taken
 UNITS_PER_SECOND = 10_000  # the worker connections count tenths of a millisecond
@@ -60,12 +60,14 @@
         self.router = RequestRouter(self.now(), settings, self.incarnation)
         self.counter = CounterTable(settings.node, self.incarnation)
         self.subscriber = Subscriber(settings.node, settings.zone)
-        self.replicas = [ip for ip, _ in settings.seeds]
+        seeds = [ip for ip, _ in settings.seeds]
+        self.control_planes = ControlPlaneDirectory(self.now(), settings.node, seeds, self.router.random)
         link = settings.link_mbps * BYTES_PER_MBIT if self.limits.buffer else 0.0
         self.listener = ClientListener(self.limits, self.handle_event, self.counts, Pacer(link))
         self.workers = WorkerConnections(self.limits, self.handle_event, Pacer(link))
         self.datagrams = Datagrams(self._on_message)
         self.updates = UpdateClient(settings.ports[0])
+        self._reread_at = self.now() + REREAD_INTERVAL
         self.draining = False
         self.holds_plan_in_force = True  # false while the last update had one that could not be read
         self._tasks: set[asyncio.Task[None]] = set()  # referred to, or they may be collected before they end
@@ -132,9 +134,21 @@
         except ClusterError as error:
             log.warning("The settings were rejected, the previous ones stay in force.", **error.fields())
             return
-        self.replicas += [ip for ip, _ in settings.seeds if ip not in self.replicas]
+        self.control_planes.add_seeds([ip for ip, _ in settings.seeds])
         log.info("The settings were reloaded.")
 
+    def _reread_seeds(self) -> None:
+        """The settings file may change without a signal: while no control plane is found, it is looked for new seeds."""
+        now = self.now()
+        if not self.control_planes.is_lost(now) or now < self._reread_at:
+            return
+        self._reread_at = now + REREAD_INTERVAL
+        try:
+            settings = read_settings()
+        except ClusterError:
+            return  # said at SIGHUP, and what is known stays
+        self.control_planes.add_seeds([ip for ip, _ in settings.seeds])
+
     # The router ------------------------------------------------------------------------------------------------------
 
     def handle_event(self, event: RouterEvent) -> None:
@@ -199,7 +213,7 @@
                 self.handle_event(CountAnswered(message))
                 self._on_notice(address[0], Versions(0, message.registry))
             case HeartbeatReply():
-                self.replicas = message.replicas or self.replicas
+                self.control_planes.replied(self.now(), address[0], message.replicas, message.revision > 0)
                 self.subscriber.confirmed(self.now(), message.revision)
                 self._on_notice(address[0], Versions(message.revision, message.registry))
             case PeerNotice():
@@ -226,12 +240,13 @@
             versions.revision,
             versions.registry,
         )
-        for ip in rendezvous.top(settings.node, self.replicas, WATCHERS):
+        for ip in self.control_planes.recipients(self.now()):
             self.datagrams.send(heartbeat, (ip, settings.ports[0]))
 
     async def _send_heartbeats(self) -> None:
         while True:
             try:
+                self._reread_seeds()
                 self._send_heartbeat()
                 for pull in self.subscriber.due(self.now()):
                     self._spawn(self._pull(pull))
@@ -261,7 +276,7 @@
             return
         registry = self.router.registry
         versions = Versions(self.router.revision, registry.version)
-        confirmed_at = asked_at if pull.configuration and pull.ip in self.replicas else None
+        confirmed_at = asked_at if pull.configuration and self.control_planes.contains(pull.ip) else None
         self.subscriber.pull_ended(pull.ip, versions, registry.gateways, confirmed_at)
         if self.subscriber.home() == self.settings.node:
             self._notify_neighbours(versions)
