Soak: contrary orders in quick series while the lease holder stands still, judged at the workers

Change: an operator's series empties a zone, takes it back and empties it again, each right after the acknowledgement before it, in half of them with the lease holder standing still from right before the second order; a trouble of its own does the same at any time. EVAC judges arrivals at workers by the rule: later than evacuateS after the acknowledgement, from gateways in touch, until the next order.

--- a/fernyard/lab/soak/checks.py
+++ b/fernyard/lab/soak/checks.py
@@ -4,7 +4,6 @@
 of I/O; times are seconds.
 """
 
-import json
 import signal
 from bisect import bisect_left, bisect_right
 from collections.abc import Callable, Iterable
@@ -13,7 +12,8 @@
 from .description import SoakDescription
 from .judge import WAKE_DELAY_FRACTION, Judge, Judgement, Verdict
 from .operator import ROUTE_TIMEOUT
-from .records import Call, Ending, Records, Try, Work, WorkEnding
+from .order_checks import configuration, evacuation
+from .records import Ending, Records, Try, Work, WorkEnding
 
 FEW = 3  # what the pages call "a few"
 EXIT_MARGIN = 0.5  # seconds that noticing an exit may take
@@ -299,49 +299,6 @@
     return result
 
 
-# Configuration -------------------------------------------------------------------------------------------------------
-
-
-def _version_of(body: bytes) -> int:
-    try:
-        return int(json.loads(body)["ver"], 16)
-    except (ValueError, KeyError, TypeError):
-        return -1
-
-
-def configuration(judge: Judge) -> Judgement:
-    """What was acknowledged is never gone or older, what was rejected is never seen, and what is read was sent."""
-    result, calls = Judgement("CONFIG"), judge.records.calls
-    sent = [call for call in calls if call.version and call.body]
-    acknowledged = [call for call in sent if call.status == 200 and call.kind != "refused"]
-    for call in sent:
-        if call.kind == "refused" and call.how != "other_bytes":
-            result.judged += 1
-            if call.status == 200:
-                result.findings.append(f"version {call.version} ({call.how}) was acknowledged")
-    for read in (call for call in calls if call.kind in ("read", "last read") and call.status == 200):
-        result.judged += 1
-        result.findings += _wrong_read(judge, read, acknowledged, {call.body for call in sent if _may_hold(call)})
-    for read in (call for call in calls if call.kind == "last read" and call.status != 200):
-        result.findings.append(f"{read.process} does not tell the configuration at the end: {read.status}")
-    return result
-
-
-def _may_hold(call: Call) -> bool:
-    return call.kind != "refused" or call.how == "other_bytes"
-
-
-def _wrong_read(judge: Judge, read: Call, acknowledged: list[Call], bodies: set[bytes]) -> list[str]:
-    version, wrong = _version_of(read.body), []
-    bound = 0.0 if read.kind == "last read" else judge.bounds.applyS
-    newest = max((call.version for call in acknowledged if call.ended_at + bound < read.sent_at), default=0)
-    if version < newest:
-        wrong.append(f"{read.process} told version {version} at {read.sent_at:.1f} s, {newest} was acknowledged before")
-    if read.body not in bodies:
-        wrong.append(f"{read.process} told what nobody sent as version {version}")
-    return wrong
-
-
 # The whole -----------------------------------------------------------------------------------------------------------
 
 
@@ -385,6 +342,7 @@
     quota,
     quota_returned,
     configuration,
+    evacuation,
     served,
     leaks,
 )
--- a/fernyard/lab/soak/description.py
+++ b/fernyard/lab/soak/description.py
@@ -47,6 +47,7 @@
     quotaExcess: float = Field(ge=0)
     quotaSlack: float = Field(ge=0)
     goneS: float = Field(gt=0)
+    evacuateS: float = Field(gt=0)
 
 
 class SoakDescription(Strict):
--- a/fernyard/lab/soak/mutants.py
+++ b/fernyard/lab/soak/mutants.py
@@ -51,6 +51,17 @@
     QuotaClient.give_back = lambda self, now, tenant: None  # type: ignore[method-assign]
 
 
+def _no_count() -> None:
+    from ...cluster.control_plane.state import SetEvacuation
+
+    apply = SetEvacuation.apply
+
+    def apply_to_any_state(self: SetEvacuation, state: Any) -> Any:
+        return apply(SetEvacuation(self.zone, self.evacuated), state)
+
+    SetEvacuation.apply = apply_to_any_state  # type: ignore[method-assign]
+
+
 MUTANTS: dict[str, Mutant] = {
     "cancelling": _no_cancelling,
     "at most once": _repeats_all,
@@ -58,6 +69,7 @@
     "storing": _no_storing,
     "majority": _no_majority,
     "giving back": _no_giving_back,
+    "count": _no_count,
 }
 
 
--- a/fernyard/lab/soak/operator.py
+++ b/fernyard/lab/soak/operator.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any
 
@@ -16,9 +16,21 @@
 BACKOFFS = (0.1, 0.2, 0.4, 0.8, 1.0, 1.0)  # between the tries of one call
 REVOKED_KEY = "key-that-is-taken-away"
 FIRST_VERSION, VERSION_STEP = 3, 2
+EVACUATION_KINDS = {"POST": "evacuate", "DELETE": "restore"}  # of calls, by their methods
+BRIEFLY = 2.0  # seconds for which a zone is empty
+SERIES_PAUSES = (1.0, 0.3)  # seconds from the acknowledgement of an order of a series to the next one
+STAND_STILL = 1.7  # seconds
+HOLD_MARGIN = 2.5  # seconds beyond `evacuateS` for which the last evacuation of a series stands
 ROUTE_TIMEOUT = 3.0  # seconds, of each route
 
 
+Steps = tuple[tuple[str, float], ...]  # methods, and the pause in seconds after the acknowledgement of each
+
+
+async def _stop_nobody(seconds: float) -> None:
+    """Where there is nobody to carry out troubles."""
+
+
 class Operator:
     """Calls the control planes, each call again until its answer is clear."""
 
@@ -27,6 +39,7 @@
         self.random = Random(f"operator {seed}")
         self.version, self.evacuated = FIRST_VERSION, False
         self.revoked = False
+        self.stop_holder: Callable[[float], Awaitable[None]] = _stop_nobody
 
     # What is sent ----------------------------------------------------------------------------------------------------
 
@@ -94,7 +107,11 @@
                 *(self._put("race", "", v, json.dumps(self.configuration(v)).encode()) for v in versions)
             )
         elif order.kind == "evacuate":
-            await self._evacuate(order.how)
+            await self._evacuate(order.how, (("POST", BRIEFLY), ("DELETE", BRIEFLY)))
+        elif order.kind == "series":
+            await self._evacuate(order.how, self._series())
+        elif order.kind == "overtaken":
+            await self._evacuate(order.how, self._series(), holder_stands_still=True)
         elif order.kind == "read":
             await self.read(self.random.choice(self.run.controls))
         else:
@@ -115,16 +132,24 @@
         self.records.calls.append(call)
         return await self._until_clear(call, "PUT", "/-/config", body, once)
 
-    async def _evacuate(self, zone: str) -> None:
-        """A zone is emptied, and taken back a moment later."""
+    def _series(self) -> Steps:
+        """A zone is emptied, taken back, and emptied again for as long as it takes to judge that."""
+        hold = self.run.description.bounds.evacuateS + HOLD_MARGIN
+        first, second = SERIES_PAUSES
+        return (("POST", first), ("DELETE", second), ("POST", hold), ("DELETE", BRIEFLY))
+
+    async def _evacuate(self, zone: str, steps: Steps, holder_stands_still: bool = False) -> None:
+        """A zone is emptied and taken back. `holder_stands_still`: the lease holder does, from right before the second step."""
         if self.evacuated:
             return
         self.evacuated = True
-        for kind, method in (("evacuate", "POST"), ("restore", "DELETE")):
-            call = Call(kind, zone, "", self.now())
+        for number, (method, pause) in enumerate(steps):
+            if number == 1 and holder_stands_still:
+                await self.stop_holder(STAND_STILL)
+            call = Call(EVACUATION_KINDS[method], zone, "", self.now())
             self.records.calls.append(call)
             await self._until_clear(call, method, f"/-/evacuate/{zone}", b"", False)
-            await asyncio.sleep(2.0)
+            await asyncio.sleep(pause)
         self.evacuated = False
 
     async def read(self, control: ClusterProcess) -> Call:
@@ -139,7 +164,9 @@
 
     async def _until_clear(self, call: Call, method: str, path: str, body: bytes, once: bool) -> Call:
         for backoff in BACKOFFS:
-            control = self.random.choice(self.run.controls)
+            # One that stands still costs a second; orders in quick series go to those that run.
+            running = [control for control in self.run.controls if not control.is_suspended] or self.run.controls
+            control = self.random.choice(running if call.kind in EVACUATION_KINDS.values() else self.run.controls)
             answer = await self._call(control, method, path, body)
             call.process, call.ended_at = control.name, self.now()
             call.status = answer.status if answer is not None else 0
--- a/fernyard/lab/soak/processes.py
+++ b/fernyard/lab/soak/processes.py
@@ -82,7 +82,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.terminated_at: float | None = None
         self.started_at = 0.0
-        self.is_killed, self.starts = False, 0
+        self.is_killed, self.is_suspended, self.starts = False, False, 0
         self.lock = asyncio.Lock()  # one series of signals after the other
 
     @property
@@ -103,7 +103,7 @@
         settings = self.folder / "local.toml"
         settings.write_text(self.run.settings(self), encoding="utf-8")
         self.starts += 1
-        self.terminated_at, self.is_killed = None, False
+        self.terminated_at, self.is_killed, self.is_suspended = None, False, False
         with open(self.folder / "log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -127,6 +127,8 @@
                 self.terminated_at = self.run.now()
             if number == signal.SIGKILL:
                 self.is_killed = True
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self.is_suspended = number == signal.SIGSTOP
             # Not `send_signal`: it looks for the end of the process first, and takes its status from whoever waits for it.
             with suppress(ProcessLookupError):
                 os.kill(self.process.pid, number)
--- a/fernyard/lab/soak/runner.py
+++ b/fernyard/lab/soak/runner.py
@@ -1,6 +1,7 @@
 """Plays one run: starts the processes and what stands around them, plays the schedule, and has the records judged."""
 
 import asyncio
+import json
 import shutil
 import tempfile
 import time
@@ -12,7 +13,7 @@
 
 from ..load import at_offset
 from .checks import judge_run
-from .clients import BrokenOffError, Client, http_call
+from .clients import Answer, BrokenOffError, Client, http_call
 from .description import SoakDescription, check_size, memory_mb
 from .judge import Verdict
 from .operator import Operator
@@ -57,7 +58,8 @@
         self.fleet = Fleet(self.records, self.now, schedule.seed)
         self.platform = Platform(self.fleet)
         self.operator = Operator(self.processes, self.records, self.now, schedule.seed)
-        self.troubles = Troubles(self.processes, self.fleet, self.platform, self._is_ready)
+        self.troubles = Troubles(self.processes, self.fleet, self.platform, self._is_ready, self._holds_lease)
+        self.operator.stop_holder = self.troubles.stop_holder
         self.clients = [Client(n, self.processes, self.records, self.now) for n in range(description.clients)]
         self.before: dict[str, tuple[int, float]] = {}
 
@@ -121,9 +123,18 @@
             return (await self._status(process.ip, self.processes.ports.control, "/-/config")) == 200
         return (await self._status(process.ip, self.processes.ports.ready, "/-/readyz")) == 200
 
+    async def _holds_lease(self, control: ClusterProcess) -> bool:
+        try:
+            answer = await asyncio.wait_for(
+                _get(control.ip, self.processes.ports.control, "/-/status"), PROBE_CALL_LIMIT
+            )
+        except (OSError, TimeoutError, BrokenOffError):
+            return False
+        return answer.status == 200 and bool(json.loads(answer.body).get("listHere", False))
+
     async def _status(self, ip: str, port: int, path: str) -> int:
         try:
-            return await asyncio.wait_for(_get(ip, port, path), PROBE_CALL_LIMIT)
+            return (await asyncio.wait_for(_get(ip, port, path), PROBE_CALL_LIMIT)).status
         except (OSError, TimeoutError, BrokenOffError):
             return 0
 
@@ -178,9 +189,9 @@
         call.kind = "last read"
 
 
-async def _get(ip: str, port: int, path: str) -> int:
+async def _get(ip: str, port: int, path: str) -> Answer:
     request = f"GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
-    return (await http_call(ip, port, request.encode())).status
+    return await http_call(ip, port, request.encode())
 
 
 async def play(description: SoakDescription, schedule: Schedule, keep: Path | None = None, mutant: str = "") -> Result:
--- a/fernyard/lab/soak/schedule.py
+++ b/fernyard/lab/soak/schedule.py
@@ -15,7 +15,16 @@
 # Kinds of trouble. Of data planes, control planes, workers, the platform; a name ends in what is done.
 GATEWAY_KINDS = ("gateway_term", "gateway_kill", "gateway_hup", "gateway_stop")
 # "alone": all control planes but one are down, and that one then loses its disk.
-CONTROL_KINDS = ("control_term", "control_kill", "control_hup", "control_stop", "control_wipe", "control_alone")
+# "holder": the one that holds the lease stands still.
+CONTROL_KINDS = (
+    "control_term",
+    "control_kill",
+    "control_hup",
+    "control_stop",
+    "control_holder_stop",
+    "control_wipe",
+    "control_alone",
+)
 WORKER_KINDS = (
     "worker_slow",
     "worker_break",
@@ -31,6 +40,7 @@
 LASTING = (
     "gateway_stop",
     "control_stop",
+    "control_holder_stop",
     "control_alone",
     "worker_slow",
     "worker_break",
@@ -42,7 +52,19 @@
 # How far a client goes before it leaves; STAYS for those that wait for their answer.
 STAYS, INCOMPLETE, SENT, IN_ANSWER = "stays", "incomplete", "sent", "in answer"
 REQUEST_KINDS, REQUEST_WEIGHTS = ("read", "write", "large"), (0.55, 0.3, 0.15)
-ORDER_KINDS = ("valid", "valid", "refused", "refused", "race", "evacuate", "revoke", "read", "read")
+ORDER_KINDS = (
+    "valid",
+    "valid",
+    "refused",
+    "refused",
+    "race",
+    "evacuate",
+    "series",
+    "overtaken",
+    "revoke",
+    "read",
+    "read",
+)
 REFUSED_HOWS = ("odd_kind", "cut_short", "unknown_service", "bad_prefix", "other_bytes")
 SERIES_GAP, SERIES_START = 2.0, 2.0
 CONTROL_GAP = 11.0  # between troubles of control planes: one is down at a time, `syncS` after its return included
@@ -156,7 +178,10 @@
     at = 1.0
     while at < description.seconds - description.calm:
         kind = random.choice(ORDER_KINDS)
-        how = {"refused": random.choice(REFUSED_HOWS), "evacuate": f"z{random.randrange(3)}"}.get(kind, "")
+        zone = f"z{random.randrange(3)}"
+        how = {"refused": random.choice(REFUSED_HOWS), "evacuate": zone, "series": zone, "overtaken": zone}.get(
+            kind, ""
+        )
         orders.append(Order(round(at, 3), kind, how))
         at += random.uniform(0.5, 3.5)
     return tuple(orders)
--- a/fernyard/lab/soak/troubles.py
+++ b/fernyard/lab/soak/troubles.py
@@ -10,6 +10,7 @@
 from .workers import Fleet, Platform, SoakWorker, cut, heal, slow_link
 
 READY_LIMIT, READY_POLL = 12.0, 0.05
+SUSPENDED_POLL = 0.01
 LISTED_AFTER_CRASH = 2.0  # seconds for which the platform still lists a worker that crashed
 LINK_DELAY = 0.15
 DRAIN_MARGIN = 1.0
@@ -19,12 +20,19 @@
     """Carries out the troubles of a schedule; they overlap as they come, but for control planes, one of which is down at a time."""
 
     def __init__(
-        self, run: Processes, fleet: Fleet, platform: Platform, is_ready: Callable[[ClusterProcess], Awaitable[bool]]
+        self,
+        run: Processes,
+        fleet: Fleet,
+        platform: Platform,
+        is_ready: Callable[[ClusterProcess], Awaitable[bool]],
+        holds_lease: Callable[[ClusterProcess], Awaitable[bool]],
     ) -> None:
-        """`is_ready`: does a process serve?"""
+        """`is_ready`: does a process serve? `holds_lease`: does a control plane say that it holds the lease?"""
         self.run, self.fleet, self.platform, self.is_ready = run, fleet, platform, is_ready
+        self.holds_lease = holds_lease
         self.skipped = 0
         self._control_free_at = 0.0
+        self._standing: set[asyncio.Future[None]] = set()  # referred to, or they may be collected before they end
 
     async def carry_out(self, trouble: Trouble) -> None:
         """One trouble, from its beginning to its end."""
@@ -40,6 +48,15 @@
         else:
             await self._worker(trouble)
 
+    async def stop_holder(self, seconds: float) -> None:
+        """The lease holder stands still for so long, unless another control plane is in trouble; returns once it does."""
+        trouble = Trouble(self.run.now(), "control_holder_stop", 0, seconds)
+        standing = asyncio.ensure_future(self.carry_out(trouble))
+        self._standing.add(standing)
+        standing.add_done_callback(self._standing.discard)
+        while not standing.done() and not any(control.is_suspended for control in self.run.controls):
+            await asyncio.sleep(SUSPENDED_POLL)
+
     # Processes -------------------------------------------------------------------------------------------------------
 
     async def _control(self, what: str, trouble: Trouble) -> None:
@@ -52,11 +69,20 @@
         try:
             if what == "alone":
                 await self._alone(trouble)
+            elif what == "holder_stop":
+                await self._process(await self._lease_holder(trouble), "stop", trouble)
             else:
                 await self._process(self.run.controls[trouble.target % len(self.run.controls)], what, trouble)
         finally:
             self._control_free_at = self.run.now() + self.run.description.bounds.syncS
 
+    async def _lease_holder(self, trouble: Trouble) -> ClusterProcess:
+        """The control plane that holds the lease, or the target where none says so."""
+        for control in self.run.controls:
+            if await self.holds_lease(control):
+                return control
+        return self.run.controls[trouble.target % len(self.run.controls)]
+
     async def _process(self, process: ClusterProcess, what: str, trouble: Trouble) -> None:
         disturbance = self.run.disturb(process, trouble.kind, planned=what in ("term", "hup"))
         if what == "hup":
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -137,6 +137,17 @@
     return Call(kind, how, "control-plane-0", at, at, status, version, json.dumps({"ver": f"{version:08x}"}).encode())
 
 
+def order(kind, at, zone="z0", status=200):
+    return Call(kind, zone, "control-plane-0", at, at, status)
+
+
+def of_evacuation(calls, disturbances=(), **work):
+    return records([a_try()], [a_work(**work)], calls=list(calls), disturbances=list(disturbances))
+
+
+EVACUATED = order("evacuate", 1.0)
+
+
 # Check -> (what it is, records, whether it breaks).
 CASES = {
     checks.mixed: (
@@ -266,6 +277,16 @@
             False,
         ),
     ),
+    checks.evacuation: (
+        ("late", of_evacuation((EVACUATED,)), True),
+        ("within evacuateS", of_evacuation((order("evacuate", 7.0),)), False),
+        ("taken back", of_evacuation((EVACUATED, order("restore", 9.0))), False),
+        ("evacuated again", of_evacuation((EVACUATED, order("restore", 3.0), order("evacuate", 4.0))), True),
+        ("another zone", of_evacuation((order("evacuate", 1.0, "z1"),)), False),
+        ("not acknowledged", of_evacuation((order("evacuate", 1.0, status=503),)), False),
+        ("another worker there", of_evacuation((EVACUATED,), ending=WorkEnding.REJECTED), False),
+        ("out of touch", of_evacuation((EVACUATED,), disturbances=[KILL]), False),
+    ),
     checks.served: (
         ("enough", records([a_try(id=str(n), sent_at=30.0, status=200 if n < 3 else 503) for n in range(10)]), False),
         (
@@ -328,15 +349,20 @@
     "storing": ((Trouble(3.5, "kill_all", 0, 0.2),), "CONFIG"),
     "majority": ((Trouble(1.0, "control_alone", 0, 3.0),), "CONFIG"),
     "giving back": (everywhere("worker_refuse"), "QUOTA returned"),
+    "overtaken": ((), None),
+    "count": ((), "EVAC"),
 }
+IN_PLACE = ("", "overtaken")  # runs with all guards
+OVERTAKEN = (Order(0.3, "overtaken", "z1"),)
 
 
 class Runs(unittest.TestCase):
     def test_short_runs_hold_and_each_guard_is_needed(self):
-        self.assertEqual({*GUARDS} - {""}, set(MUTANTS))
+        self.assertEqual({*GUARDS} - {*IN_PLACE}, set(MUTANTS))
         verdicts = asyncio.run(self.play_all())
         found = {guard: set(verdict.broken) for guard, verdict in verdicts.items()}
-        self.assertEqual(verdicts[""].state, "kept", [j for j in verdicts[""].judgements if j.findings])
+        for name in IN_PLACE:
+            self.assertEqual(verdicts[name].state, "kept", [j for j in verdicts[name].judgements if j.findings])
         for guard, (_, check) in GUARDS.items():
             if check is not None:
                 self.assertIn(check, found[guard], f"nothing finds what is done without: {guard}")
@@ -346,13 +372,15 @@
 
         async def one(guard):
             async with slots:
-                return guard, (await play(SHORT, self.schedule(guard), mutant=guard)).verdict
+                mutant = "" if guard in IN_PLACE else guard
+                return guard, (await play(SHORT, self.schedule(guard), mutant=mutant)).verdict
 
         return dict(await asyncio.gather(*(one(guard) for guard in GUARDS)))
 
     def schedule(self, guard):
         """A configuration each 0.3 s, so that one falls into any trouble."""
         orders = tuple(Order(1.2 + 0.3 * number, "valid", "") for number in range(8))
+        orders = OVERTAKEN if guard in ("overtaken", "count") else orders
         return attrs.evolve(make(SHORT, 1), troubles=GUARDS[guard][0], orders=orders)
 
 
