--- a/tests/cluster/control_planes.py
+++ b/tests/cluster/control_planes.py
@@ -4,12 +4,9 @@
 import heapq
 import random
 from collections.abc import Callable
-from enum import Enum
 from functools import partial
 from typing import Any
 
-import attrs
-
 from fernyard.cluster.common.messages import LeaseReply, LeaseRequest, Message
 from fernyard.cluster.control_plane import commands, events
 from fernyard.cluster.control_plane.learner import SERVED_WITHIN
@@ -18,7 +15,10 @@
 from fernyard.cluster.control_plane.recovery import recover
 from fernyard.cluster.control_plane.replica import Replica
 from fernyard.cluster.control_plane.replica_context import ReplicaSettings
-from fernyard.cluster.control_plane.state import ConfigurationId, ControlState
+from fernyard.cluster.control_plane.state import ConfigurationId
+
+from .machines import Deferred, Disk, Machine
+from .operator_answers import Answer, Evacuate, Get, Put
 
 TICK = 0.2
 CALL_EXPIRES_AFTER = 0.85  # since the process read the call
@@ -29,86 +29,6 @@
 MAX_HANDOVER = 4.0  # that a machine which shuts down waits at most
 
 
-@attrs.frozen
-class Put:
-    """An operator sends a configuration."""
-
-    id: ConfigurationId
-
-
-@attrs.frozen
-class Evacuate:
-    """An operator evacuates a zone, or takes it back."""
-
-    zone: str
-    evacuated: bool
-
-
-@attrs.frozen
-class Get:
-    """An operator reads the configuration in force."""
-
-
-@attrs.define
-class Answer:
-    """What an operator was answered: `status` is None while nothing was."""
-
-    call: Put | Evacuate | Get
-    node: str
-    called_at: float
-    status: int | None = None
-    body: bytes = b""
-    conflicting: ConfigurationId | None = None
-    answered_at: float = 0.0
-
-
-class Disk(Enum):
-    """How a disk works: as it should, not at all until it recovers, or refusing every write."""
-
-    WORKING = "working"
-    STALLED = "stalled"
-    FULL = "full"
-
-
-@attrs.frozen
-class Deferred:
-    """A call of the simulation that waits for a machine or a disk."""
-
-    call: Callable[..., None]
-    arguments: tuple[Any, ...]
-
-    def run(self) -> None:
-        """Makes the call."""
-        self.call(*self.arguments)
-
-
-@attrs.define(eq=False)
-class Machine:
-    """A machine with its disk.
-
-    `areas` is what would survive a loss of power, as every save is synced; of `writing` a first part may survive as well, and
-    what is in `erased` may come back, as a folder isn't synced after it. `suspended`: what waits while the process is suspended;
-    None: it runs. `published`: when which state was published.
-    """
-
-    name: str
-    ip: str
-    areas: dict[str, bytes] = attrs.Factory(dict)
-    replica: Any = None  # Replica | None, which tests look into
-    lease: Any = None  # LeaseManager | None
-    incarnation: int = 0
-    suspended: list[Deferred] | None = None
-    disk: Disk = Disk.WORKING
-    stalled: list[Deferred] = attrs.Factory(list)
-    writing: list[commands.StoreArea] = attrs.Factory(list)
-    erased: dict[str, bytes] = attrs.Factory(dict)
-    published: list[tuple[float, ControlState]] = attrs.Factory(list)
-
-    def is_running(self) -> bool:
-        """Is its process up and not suspended?"""
-        return self.replica is not None and self.suspended is None
-
-
 class ControlPlanes:
     """Machines by name; see the module."""
 
--- a/tests/cluster/history.py
+++ b/tests/cluster/history.py
@@ -6,7 +6,8 @@
 from fernyard.cluster.control_plane.proposer import ROUND_TIMEOUT
 from fernyard.cluster.control_plane.state import ConfigurationId, ControlState
 
-from .control_planes import Answer, ControlPlanes, Evacuate, Get, Put
+from .control_planes import ControlPlanes
+from .operator_answers import Answer, Evacuate, Get, Put
 
 # Seconds within which a change without a clear answer comes into force, or never.
 IN_DOUBT = FORWARDED_WITHIN + CALL_TIMEOUT + ROUND_TIMEOUT
--- a/tests/cluster/reporting_gateways.py
+++ b/tests/cluster/reporting_gateways.py
@@ -9,7 +9,8 @@
 from fernyard.cluster.control_plane.state import NO_CONFIGURATION
 from fernyard.cluster.data_plane.control_plane_directory import ControlPlaneDirectory
 
-from .control_planes import LINK_DELAY, ControlPlanes, Machine
+from .control_planes import LINK_DELAY, ControlPlanes
+from .machines import Machine
 from .schedules import SYNC
 
 HEARTBEAT_INTERVAL = 0.3
--- a/tests/cluster/schedules.py
+++ b/tests/cluster/schedules.py
@@ -5,8 +5,9 @@
 
 from fernyard.cluster.control_plane.replica import Replica
 
-from .control_planes import ControlPlanes, Disk
+from .control_planes import ControlPlanes
 from .history import History
+from .machines import Disk
 
 SYNC = 4.0  # from its return, or its start if it is new, until a machine counts as recovered (syncS)
 CONTACT = 5.0  # after the last fault, within which all is well again (contactS)
--- a/tests/cluster/test_control_guards.py
+++ b/tests/cluster/test_control_guards.py
@@ -26,8 +26,9 @@
 from fernyard.cluster.control_plane.voter import Voter
 
 from . import control_planes
-from .control_planes import ControlPlanes, Disk
+from .control_planes import ControlPlanes
 from .history import History
+from .machines import Disk
 from .schedules import SYNC
 
 EXECUTE, SET_CONFIGURATION, SET_EVACUATION = Voter._execute, SetConfiguration.apply, SetEvacuation.apply
--- a/tests/cluster/test_control_state.py
+++ b/tests/cluster/test_control_state.py
@@ -32,8 +32,9 @@
 )
 from fernyard.cluster.control_plane.voter import VOTE_AREA
 
-from .control_planes import DISK_DELAY, LINK_DELAY, TICK, ControlPlanes, Deferred, Disk
+from .control_planes import DISK_DELAY, LINK_DELAY, TICK, ControlPlanes
 from .history import History
+from .machines import Deferred, Disk
 from .schedules import SYNC
 
 IPS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
--- a/tests/cluster/test_replica.py
+++ b/tests/cluster/test_replica.py
@@ -5,8 +5,9 @@
 import testtools
 from testtools.matchers import Equals
 
-from .control_planes import ControlPlanes, Disk
+from .control_planes import ControlPlanes
 from .history import History
+from .machines import Disk
 
 
 def story(*steps, zones=None, version=None, names="abc"):
