Both programs: a signal that comes once they have stopped does not end them with its status

Cause: asyncio's loop brings back the default actions of signals when it is closed; a SIGHUP that came after the program had stopped and before the process was gone ended it. Evidence: the log ends with 'has stopped', SIGHUP was sent 2.15 s after SIGTERM, and the process was gone 0.02 s later with -1.

Change: once a program has stopped it takes its handlers out of the loop and ignores these signals. Measured: a loop that is closed without this ends a process with -1 at the next SIGHUP; TestEnd raises all three and passes.

--- a/fernyard/cluster/control_plane/process.py
+++ b/fernyard/cluster/control_plane/process.py
@@ -23,6 +23,7 @@
 from ..common.registry import Registry
 from ..common.settings import Settings, read as read_settings
 from ..common.transport import Address, Datagrams, serve
+from ..early_signals import ignore_late_signals
 from .api import Api
 from .call_table import MAX_CONFIGURATION_BYTES, Bind
 from .command_executor import CommandExecutor
@@ -127,6 +128,7 @@
         await self.client.close()
         self.datagrams.close()
         log.info("Control plane has stopped.")
+        ignore_late_signals()
 
     async def _serve(self, bind: Bind, address: Address) -> None:
         is_control = bind is Bind.CONTROL
--- a/fernyard/cluster/data_plane/process.py
+++ b/fernyard/cluster/data_plane/process.py
@@ -27,6 +27,7 @@
 )
 from ..common.settings import Settings, read as read_settings
 from ..common.transport import Address, Datagrams, HttpAnswer, serve
+from ..early_signals import ignore_late_signals
 from .commands import AnswerRequest, CancelAttempt, Command, ForwardRequest, RelayAnswer, SendCount
 from .control_plane_directory import ControlPlaneDirectory
 from .counter import CounterTable
@@ -105,6 +106,7 @@
         await self.updates.close()
         self.datagrams.close()
         self._log_end()
+        ignore_late_signals()
 
     def _log_end(self) -> None:
         metrics = self.router.metrics
--- a/fernyard/cluster/early_signals.py
+++ b/fernyard/cluster/early_signals.py
@@ -1,5 +1,5 @@
-"""SIGTERM and SIGHUP while a program starts. Either would end it with a signal's status by default: a restart and a change of
-settings may well come one upon the other. Imports as little as possible."""
+"""SIGTERM and SIGHUP while a program starts, and once it has stopped. Either would end it with a signal's status by default: a restart
+and a change of settings may well come one upon the other. Imports as little as possible."""
 
 import asyncio
 import signal
@@ -27,6 +27,15 @@
             asyncio.get_running_loop().call_soon(signal.raise_signal, signal.SIGHUP)
 
 
+def ignore_late_signals() -> None:
+    """Within the running loop, once the program has stopped: a signal that comes before the process is gone changes nothing. The loop
+    would bring back the default actions when it is closed."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _stop(number: int, frame: FrameType | None) -> None:
     sys.exit(0)
 
--- a/tests/cluster/test_early_signals.py
+++ b/tests/cluster/test_early_signals.py
@@ -11,7 +11,7 @@
 import testtools
 from testtools.matchers import Equals
 
-from fernyard.cluster.early_signals import EarlySignals
+from fernyard.cluster.early_signals import EarlySignals, ignore_late_signals
 
 PROGRAMS = ("data-plane", "control-plane")
 
@@ -65,3 +65,24 @@
                 for number, handler in before.items():
                     signal.signal(number, handler)
             self.assertThat(handled, Equals(["reload"] if came else []))
+
+
+class TestEnd(testtools.TestCase):
+    def test_a_signal_after_the_loop_was_closed_does_not_end_the_process(self):
+        """Guards against a status of SIGHUP or SIGTERM, in the moment between the end of a planned stop and the process's own."""
+        numbers = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+        before = {number: signal.getsignal(number) for number in numbers}
+
+        async def run():
+            for number in numbers:
+                asyncio.get_running_loop().add_signal_handler(number, self.fail)
+            ignore_late_signals()
+
+        try:
+            asyncio.run(run())
+            for number in numbers:
+                signal.raise_signal(number)
+                self.assertThat(signal.getsignal(number), Equals(signal.SIG_IGN), number)
+        finally:
+            for number, handler in before.items():
+                signal.signal(number, handler)
