Control plane: an order for a zone that a cut held up is asked for again, and undoes nothing

Cause: an order has no version, and the moment of its arrival stood for the moment at which it was given. The wait of 0.1 s for the close of a caller that had given up is a guess about the network; here the close came later.

Evidence: record of the case before: the DELETE arrives after the heal and is decided with the zone's newest count. After: it is answered 307 into a closed connection.

Change: a connection bounds the age of the request on it (sent after the last answer, or after the handshake). An order that may be older than 0.5 s is asked for again with 307, which a caller that is there follows at once and a late copy does not; the zone's count is read before the order can be 1.0 s old. It works because a caller goes on only after a second of silence: what it orders then changes the count that the copy bears. The soak's operator follows 307, as PROTOCOL says of callers.

The check of a handshake that was sent again has no run that shows it.

--- a/fernyard/clients/connections.py
+++ b/fernyard/clients/connections.py
@@ -4,7 +4,9 @@
 import errno
 import socket
 from collections import OrderedDict
+from collections.abc import Callable
 from itertools import islice
+from typing import Any
 
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_response import Response
@@ -49,7 +51,7 @@
 class Written(Response):
     """Tells when it was written: until then its connection is not to be closed."""
 
-    def __init__(self, told, **named):
+    def __init__(self, told: Callable[[], None], **named: Any) -> None:
         super().__init__(**named)
         self.told = told
 
--- a/fernyard/cluster/common/transport.py
+++ b/fernyard/cluster/common/transport.py
@@ -6,10 +6,13 @@
 
 import msgspec
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
+from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response
 from aiohttp.web_server import Server
 
+from ...clients.connections import Written
+from ...sockets import handshake_time
 from . import messages
 from .logs import ComponentLogger
 from .messages import encode
@@ -67,6 +70,53 @@
             self.transport.close()
 
 
+class CallerConnection(RequestHandler):
+    """A connection that knows since when the request on it can have been under way: a caller sends the next one only once it has
+    had the answer before it, and the first one once the handshake is over.
+
+    `sent_after`: seconds of the loop's clock; the request that came last was sent later than that.
+    """
+
+    __slots__ = ("_is_serving", "_spoke_at", "sent_after")
+    sent_after: float
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by asyncio once the connection is taken in."""
+        super().connection_made(transport)
+        self._is_serving = False
+        self._spoke_at = self.sent_after = self._loop.time() - handshake_time(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Called by asyncio with bytes of the caller. Those that came before the last answer was out are as old as what was
+        answered."""
+        if not self._is_serving and not self._messages:
+            self.sent_after = self._spoke_at
+        super().data_received(data)
+
+    def begin_request(self) -> None:
+        """A request is being served."""
+        self._is_serving = True
+
+    def end_request(self) -> None:
+        """Its answer was written."""
+        self._is_serving, self._spoke_at = False, self._loop.time()
+
+
+def sent_after(request: BaseRequest) -> float:
+    """Seconds of the loop's clock: the caller sent the request later than that. Of requests that `serve` takes."""
+    connection = request.protocol
+    assert isinstance(connection, CallerConnection)
+    return connection.sent_after
+
+
+class CallServer(Server):
+    """Makes connections that are `CallerConnection`s."""
+
+    def __call__(self) -> RequestHandler:
+        """Called by asyncio for each connection."""
+        return CallerConnection(self, loop=asyncio.get_running_loop(), **self._kwargs)
+
+
 async def serve(
     handle: Callable[[BaseRequest], Awaitable[HttpAnswer]],
     address: Address,
@@ -79,6 +129,9 @@
     """
 
     async def answer(request: BaseRequest) -> Response:
+        connection = request.protocol
+        assert isinstance(connection, CallerConnection)
+        connection.begin_request()
         try:
             status, body, headers = await handle(request)
         except (ConnectionError, asyncio.CancelledError):
@@ -88,12 +141,12 @@
         except Exception:
             log.exception("The handler of a call failed.", path=request.path)
             status, body, headers = 500, b"", None
-        return Response(status=status, body=body, headers=headers)
+        return Written(connection.end_request, status=status, body=body, headers=headers)
 
     loop = asyncio.get_running_loop()
 
     def make_request(message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> BaseRequest:
         return BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=body_limit)
 
-    server = Server(answer, request_factory=make_request, access_log=None, handler_cancellation=cancels_abandoned)
+    server = CallServer(answer, request_factory=make_request, access_log=None, handler_cancellation=cancels_abandoned)
     return await loop.create_server(server, *address, backlog=BACKLOG, reuse_address=True)
--- a/fernyard/cluster/control_plane/api.py
+++ b/fernyard/cluster/control_plane/api.py
@@ -9,10 +9,11 @@
 from ..common.errors import ConfigurationConflictError, ConfigurationError
 from ..common.logs import ComponentLogger
 from ..common.messages import ConfigurationUpdate
-from ..common.transport import HttpAnswer
+from ..common.transport import HttpAnswer, sent_after
 from .call_table import Bind, find
 from .events import BodyReceived, ConfigurationSubmitted, EvacuationSubmitted, ReadRequested
 from .messages import StoredBody, decode_body, encode
+from .operator_calls import SEND_AGAIN
 
 if TYPE_CHECKING:
     from .process import ControlPlane
@@ -71,16 +72,22 @@
 
     async def evacuate_zone(self, request: BaseRequest, zone: str) -> HttpAnswer:
         """POST /-/evacuate/ZONE."""
-        return await self._set_evacuation(zone, True)
+        return await self._set_evacuation(request, zone, True)
 
     async def restore_zone(self, request: BaseRequest, zone: str) -> HttpAnswer:
         """DELETE /-/evacuate/ZONE."""
-        return await self._set_evacuation(zone, False)
+        return await self._set_evacuation(request, zone, False)
 
-    async def _set_evacuation(self, zone: str, evacuated: bool) -> HttpAnswer:
-        if zone not in self.process.settings.zones:
+    async def _set_evacuation(self, request: BaseRequest, zone: str, evacuated: bool) -> HttpAnswer:
+        process = self.process
+        if zone not in process.settings.zones:
             return 404, b"", None
-        reply = await self.process.call(lambda ticket: EvacuationSubmitted(ticket, zone, evacuated))
+        age = process.now() - sent_after(request)
+        reply = await process.call(lambda ticket: EvacuationSubmitted(ticket, zone, evacuated, age))
+        if reply.status == SEND_AGAIN:
+            log.info("An evacuation may have been sent long ago and is asked for again.", zone=zone, age=round(age, 3))
+            host, port = process.settings.binds[Bind.CONTROL.value]
+            return reply.status, b"", {"Location": f"http://{host}:{port}{request.rel_url.raw_path}"}
         return reply.status, b"", None
 
     async def get_status(self, request: BaseRequest, _: str) -> HttpAnswer:
--- a/fernyard/cluster/control_plane/events.py
+++ b/fernyard/cluster/control_plane/events.py
@@ -18,11 +18,13 @@
 
 
 class EvacuationSubmitted(msgspec.Struct, frozen=True):
-    """An operator evacuates a zone (`evacuated` is true) or takes it back."""
+    """An operator evacuates a zone (`evacuated` is true) or takes it back. `age`: the seconds that may have passed at most since
+    the order was sent."""
 
     ticket: int
     zone: str
     evacuated: bool
+    age: float = 0.0
 
 
 class ReadRequested(msgspec.Struct, frozen=True):
--- a/fernyard/cluster/control_plane/operator_calls.py
+++ b/fernyard/cluster/control_plane/operator_calls.py
@@ -4,6 +4,10 @@
 A change goes to the lease holder, where there is one, so that proposals don't collide; if that doesn't get it decided, it is
 proposed here as well. So there may be several copies of a change, of which the first to be decided counts: a configuration bears
 its version, and an evacuation the count of the zone's changes, which a majority confirmed after the order came.
+
+An evacuation that was held up on its way may come after its caller has given it up and a later order was acknowledged elsewhere.
+So its zone is read while its caller can't have given it up yet, by the age that its connection proves; where that is too long
+ago, the caller is asked to send it again (307), which one that is there does at once.
 """
 
 import attrs
@@ -25,6 +29,10 @@
 # with the close of a caller that has given up, or one round trip before it.
 EVACUATION_DELAY = 0.1
 CALL_TIMEOUT = 1.0  # that a caller waits at most: an older call is not begun any more
+MAX_ORDER_AGE = (
+    0.5  # that may have passed since an evacuation was sent: what is left of CALL_TIMEOUT is for confirming its zone
+)
+SEND_AGAIN = 307  # to the same address
 
 
 class CallKey(ChangeKey, frozen=True):
@@ -105,6 +113,9 @@
         if was_suspended:
             self.context.execute(CompleteCall(event.ticket, 503))
             return
+        if event.age > MAX_ORDER_AGE:
+            self.context.execute(CompleteCall(event.ticket, SEND_AGAIN))
+            return
         self.pending[event.ticket] = Call(self.context.now, order=event)
 
     def read(self, event: ReadRequested) -> None:
@@ -124,6 +135,9 @@
             self._begin_evacuation(ticket, call, call.order)
 
     def _begin_evacuation(self, ticket: int, call: Call, order: EvacuationSubmitted) -> None:
+        if self.context.now - call.since + order.age >= CALL_TIMEOUT:
+            self._complete(ticket, 503)  # its caller may have given it up before its zone was confirmed
+            return
         state = self.learner.state
         assert state is not None, "a majority confirmed it"
         last = state.evacuation(order.zone)
--- a/fernyard/lab/soak/operator.py
+++ b/fernyard/lab/soak/operator.py
@@ -13,6 +13,10 @@
 from .workers import SERVICES
 
 CALL_LIMIT = 1.0
+REDIRECT, MAX_REDIRECTS = (
+    307,
+    3,
+)  # a status; calls that are made in all where it is answered: control planes name themselves
 BACKOFFS = (0.1, 0.2, 0.4, 0.8, 1.0, 1.0)  # between the tries of one call
 REVOKED_KEY = "key-that-is-taken-away"
 FIRST_VERSION, VERSION_STEP = 3, 2
@@ -176,8 +180,13 @@
         return call
 
     async def _call(self, control: ClusterProcess, method: str, path: str, body: bytes) -> Answer | None:
+        """The answer; one that asks for the call again is followed, as PROTOCOL.md says of callers."""
         try:
-            return await asyncio.wait_for(self._exchange(control, method, path, body), CALL_LIMIT)
+            for _ in range(MAX_REDIRECTS):
+                answer = await asyncio.wait_for(self._exchange(control, method, path, body), CALL_LIMIT)
+                if answer.status != REDIRECT:
+                    break
+            return answer
         except (OSError, TimeoutError, BrokenOffError):
             return None
 
--- a/fernyard/sockets.py
+++ b/fernyard/sockets.py
@@ -2,6 +2,11 @@
 
 import select
 import socket
+import struct
+from asyncio import BaseTransport
+
+# Linux, `struct tcp_info`: offsets in bytes of the smoothed round-trip time (microseconds) and of the packets sent again.
+TCP_INFO_SIZE, TCP_INFO_RTT, TCP_INFO_TOTAL_RETRANSMITS = 104, 68, 100
 
 
 def bound(made, size):
@@ -26,3 +31,15 @@
     waiting = select.poll()
     waiting.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
     return bool(waiting.poll(0))
+
+
+def handshake_time(transport: BaseTransport) -> float:
+    """Seconds that the handshake of a connection just taken in took; infinite where its packets were sent again, so that the other
+    side may have taken it for whole long before; 0 where the system does not tell."""
+    try:
+        told = transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+        (sent_again,) = struct.unpack_from("=I", told, TCP_INFO_TOTAL_RETRANSMITS)
+        (round_trip,) = struct.unpack_from("=I", told, TCP_INFO_RTT)
+    except (AttributeError, OSError, struct.error):
+        return 0.0
+    return float("inf") if sent_again else round_trip / 1e6
--- a/tests/cluster/control_planes.py
+++ b/tests/cluster/control_planes.py
@@ -347,10 +347,10 @@
         id = ConfigurationId.of(version, body)
         return self._call(name, Put(id), lambda ticket: events.ConfigurationSubmitted(ticket, id, body))
 
-    def evacuate(self, name: str, zone: str, evacuated: bool = True, leaves: bool = True) -> Answer:
-        """Evacuates a zone, or takes it back; `leaves` as in `_call`."""
+    def evacuate(self, name: str, zone: str, evacuated: bool = True, leaves: bool = True, age: float = 0.0) -> Answer:
+        """Evacuates a zone, or takes it back; `leaves` as in `_call`, `age` as in `EvacuationSubmitted`."""
         call = Evacuate(zone, evacuated)
-        return self._call(name, call, lambda ticket: events.EvacuationSubmitted(ticket, zone, evacuated), leaves)
+        return self._call(name, call, lambda ticket: events.EvacuationSubmitted(ticket, zone, evacuated, age), leaves)
 
     def get(self, name: str) -> Answer:
         """Reads the configuration in force."""
