Gateway: silence within a worker's answer no longer ends its request

Cause: a bound of 0.5 s on the pause within an answer (Limits.answer), whatever deadline the request had.

Change: the whole system has no such bound; a request that was passed on ends with its answer, its deadline or its connection. Hedging and health judge slowness as before. It works because no timer but the deadline's looks at an answer under way. The soak's workers pause within one answer of twenty.

--- a/fernyard/cluster/data_plane/limits.py
+++ b/fernyard/cluster/data_plane/limits.py
@@ -21,7 +21,7 @@
         clients_unused=sockets // 4,
         workers=sockets // 3,
         workers_known=4096,
-        answer=0.5 if buffer >= WIDE_BUFFER else 3.0,
+        answer=0.0,  # a worker's silence is no reason to end an answer sooner (RULES.md)
         answer_head=16 * 1024,
         counters=0,
         backlog=512,
--- a/fernyard/lab/soak/workers.py
+++ b/fernyard/lab/soak/workers.py
@@ -19,6 +19,8 @@
 LARGE_BODY = 64 * 1024
 SLOW_FACTOR = 5.0
 BREAK_PROBABILITY = 0.3  # of the answers, while a worker breaks or loses them
+# Of the answers of sound workers, those with a pause in their midst; its seconds, and the part of what is left that it takes at most.
+PAUSE_PROBABILITY, PAUSES, PAUSE_FRACTION = 0.05, (0.5, 1.5), 0.5
 SERVICES = ("main", "files")
 
 
@@ -140,9 +142,34 @@
         body = body_of(self.id, work.id, kind)
         if self.faults.breaks and self.random.random() < BREAK_PROBABILITY:
             return await self._break_midway(request, work, body, headers)
+        pause = self._pause_within(work)
+        if pause:
+            return await self._answer_with_pause(request, work, body, headers, pause)
         self._end(work, WorkEnding.ANSWERED)
         return web.Response(status=200, body=body, headers=headers)
 
+    def _pause_within(self, work: Work) -> float:
+        """Seconds for which a sound worker is silent within this answer, well before the deadline; mostly 0."""
+        if self.random.random() >= PAUSE_PROBABILITY:
+            return 0.0
+        assert work.until is not None
+        left = PAUSE_FRACTION * (work.deadline_at - work.until)
+        return min(self.random.uniform(*PAUSES), left)
+
+    async def _answer_with_pause(
+        self, request: web.BaseRequest, work: Work, body: bytes, headers: dict[str, str], pause: float
+    ) -> web.StreamResponse:
+        assert work.until is not None
+        work.until += pause
+        response = web.StreamResponse(status=200, headers={**headers, "Content-Length": str(len(body))})
+        await response.prepare(request)
+        await response.write(body[: len(body) // 2])
+        await asyncio.sleep(pause)
+        await response.write(body[len(body) // 2 :])
+        await response.write_eof()
+        self._end(work, WorkEnding.ANSWERED)
+        return response
+
     def _break_off(self, request: web.BaseRequest, work: Work) -> web.Response:
         self._end(work, WorkEnding.BROKEN_OFF)
         if request.transport is not None:
--- a/fernyard/settings/limits.py
+++ b/fernyard/settings/limits.py
@@ -13,7 +13,7 @@
     clients_unused: int  # of those that were used and now are not; past that the longest unused goes
     workers: int  # worker connections, past which none is kept idle
     workers_known: int  # workers that connections may belong to
-    answer: float  # a pause within an answer, past which it has lost its end
+    answer: float  # a pause within an answer, past which it has lost its end; 0 for none but the request's deadline
     answer_head: int  # bytes of the head of an answer
     counters: int  # connections to the counter
     backlog: int  # connections the kernel may hold for us
--- a/fernyard/workers/connections.py
+++ b/fernyard/workers/connections.py
@@ -81,8 +81,9 @@
             return self.transport is None or self.transport.abort()
         while data and self.due:
             data = self._read_head(data) if self.left is None else self._read_body(data)
-        # Once an answer has begun the rest comes without a pause: else it has lost its end.
-        self.read_timeout = self.limits.answer if self.due and (self.head or self.left is not None) else None
+        # Where a bound is set, an answer that has begun and pauses for longer has lost its end.
+        has_begun = self.due and (self.head or self.left is not None)
+        self.read_timeout = (self.limits.answer or None) if has_begun else None
         self.start_timeout()
         if not self.due:
             self.used = self._loop.time()
--- a/tests/cluster/test_abandoned_calls.py
+++ b/tests/cluster/test_abandoned_calls.py
@@ -16,6 +16,7 @@
 from fernyard.cluster.control_plane.operator_calls import CALL_TIMEOUT, EVACUATION_DELAY, MAX_ORDER_AGE, SEND_AGAIN
 from fernyard.cluster.control_plane.process import ControlPlane
 
+from .clocks import ShiftedLoop
 from .control_planes import ControlPlanes
 from .schedules import SYNC
 
@@ -66,15 +67,6 @@
     return len(pending)
 
 
-class ShiftedLoop(asyncio.SelectorEventLoop):
-    """A loop whose clock can be put forward by `shift` seconds."""
-
-    shift = 0.0
-
-    def time(self) -> float:
-        return super().time() + self.shift
-
-
 async def exchange(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request: bytes) -> bytes:
     """The head of the answer to one request; its body is read too."""
     writer.write(request)
