Gateway: bodies of requests and answers are held within the machine's memory

Cause: whole bodies were gathered and copied with no regard to memMb: the library's read lifts its flow control to the largest body, grows a buffer and copies it, and what the worker's socket did not take at once was copied again.

The test of answers found that the router kept the commands of its last step, with the bodies in them, until the next event: it does no more.

Change: a budget from memMb for bodies of requests and one for those of answers, each with a part for small ones. What has no room waits unread; a request without room in 2 s is answered 503 before it was passed on, an answer waits until its deadline. Bodies stand in memory once and are written in slices. It works because a body claims what it may take before it is read, and its claim ends with its buffer.

test_client_gone: its guard "an upload is reset, not closed" passed without the guard, since a body written in slices no longer waits whole at its connection. The guard is now tried with one slice of the whole body, and the property itself with both sizes: as strict as before.

--- a/fernyard/clients/serving.py
+++ b/fernyard/clients/serving.py
@@ -14,6 +14,13 @@
 NO_REQUEST = (Malformed, HTTPRequestEntityTooLarge, RequestPayloadError)  # what makes a request none of ours
 
 
+async def ask_for_body(request):
+    """A client that waits for a word to send its body gets that."""
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        request.writer.output_size = 0
+
+
 class RequestServer:
     """Serves requests with `_serve(request)`, which gives the response; `_fault` tells of an error in it."""
 
@@ -44,10 +51,8 @@
 
     @staticmethod
     async def _body(request):
-        """The whole body; a client that waits for a word to send it gets that."""
-        if request.headers.get("Expect", "").lower() == "100-continue":
-            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            request.writer.output_size = 0
+        """The whole body."""
+        await ask_for_body(request)
         return await request.read() if request.body_exists else b""
 
     def _refused(self, why):
--- a/fernyard/cluster/data_plane/limits.py
+++ b/fernyard/cluster/data_plane/limits.py
@@ -1,6 +1,7 @@
-"""The limits of the gatekeeper's connections, from what this machine may use."""
+"""The limits of the gatekeeper's connections and of the bodies on them, from what this machine may use."""
 
 from ...settings.limits import Limits
+from ..common.memory_budget import MemoryBudget
 from ..common.settings import Settings
 
 BYTES_PER_MBIT = 125_000
@@ -9,6 +10,28 @@
 WIDE_BUFFER = 1 << 18  # bytes from which on a connection's buffer is not bounded
 ACCEPT_AFTER_STOP = 2.2  # seconds after SIGTERM in which new connections are taken
 
+BYTES_PER_MB = 1_000_000
+# Of the machine's memory: large bodies of requests, of answers, and what each keeps for small ones. The rest is for the program, what
+# it knows, and bytes that wait unread. The largest body that a client may send has room on a machine of 192 MB.
+REQUEST_FRACTION, ANSWER_FRACTION, SMALL_FRACTION = 0.35, 0.15, 0.07
+MOST_WAITING = 8  # large bodies of requests; each that waits unread takes memory as well
+
+
+def request_budget(settings: Settings) -> MemoryBudget:
+    """For the bodies of requests."""
+    return _budget(settings, REQUEST_FRACTION, MOST_WAITING)
+
+
+def answer_budget(settings: Settings) -> MemoryBudget:
+    """For the bodies of answers: one that its worker has run for is never refused, so any number may wait."""
+    return _budget(settings, ANSWER_FRACTION, None)
+
+
+def _budget(settings: Settings, fraction: float, most_waiting: int | None) -> MemoryBudget:
+    memory = settings.memory_mb * BYTES_PER_MB
+    reserve = int(SMALL_FRACTION * memory)
+    return MemoryBudget(int(fraction * memory) + reserve, reserve, most_waiting)
+
 
 def limits(settings: Settings) -> Limits:
     """Descriptors are divided among clients and workers; buffers follow the link. What the system does not use is 0."""
--- a/fernyard/cluster/data_plane/listener.py
+++ b/fernyard/cluster/data_plane/listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from dataclasses import replace
 from typing import Any
 
@@ -11,12 +12,14 @@
 from multidict import CIMultiDict
 
 from ...clients.read import Malformed, check_framing, passed_on
-from ...clients.serving import NO_REQUEST, RequestServer
+from ...clients.serving import NO_REQUEST, RequestServer, ask_for_body
 from ...log import Counts
 from ...settings.limits import Limits
 from ...sockets import ended_by_peer
 from ...workers import Outcome
+from ..common.bodies import SLICE, BodyReader, TooLongError
 from ..common.logs import ComponentLogger
+from ..common.memory_budget import SMALL_BODY, MemoryBudget, NoRoomError
 from ..common.messages import Plan
 from ..common.transport import Address
 from .events import ClientEvent, ClientGone, RequestArrived
@@ -25,8 +28,12 @@
 log = ComponentLogger("front")
 ATTEMPT_ID, DEADLINE_MS = "Attempt-Id", "Deadline-Ms"
 DEFAULT_DEADLINE_MS = "30000"
+RETRY_AFTER = "0.5"  # seconds, for a request whose body has no room
 SINGLE_HEADERS = (ATTEMPT_ID, DEADLINE_MS, "Key", "Host", "Content-Length", "Transfer-Encoding")  # once at most
 CLOSE_POLL = 0.02  # seconds between looks at the connections that are still open
+# Seconds for which a body waits for room in memory, and those and the part of its deadline at most; it is read and dropped for so
+# many seconds where it finds none, as an answer before its end would be lost with the connection.
+MAX_ROOM_WAIT, ROOM_WAIT_FRACTION, DROP_TIME = 2.0, 0.5, 1.0
 
 
 @attrs.define
@@ -38,7 +45,7 @@
     host: str
     path: str
     headers: list[tuple[str, str]]
-    body: bytes
+    body: bytes | bytearray
     tenant: str | None = None
 
 
@@ -47,7 +54,7 @@
     """What a client is answered."""
 
     status: int
-    body: bytes = b""
+    body: bytes | bytearray = b""
     headers: Mapping[str, str] | None = None
 
 
@@ -56,10 +63,19 @@
 
     connections: Any  # `fernyard.clients.connections.Connections`, which is not annotated yet
 
-    def __init__(self, limits: Limits, report: Callable[[ClientEvent], None], counts: Counts, pacer: Pacer) -> None:
-        """`report` takes `RequestArrived` and `ClientGone`; `pacer`: of large answers on their way out."""
+    def __init__(
+        self,
+        limits: Limits,
+        report: Callable[[ClientEvent], None],
+        counts: Counts,
+        pacer: Pacer,
+        budget: MemoryBudget,
+    ) -> None:
+        """`report` takes `RequestArrived` and `ClientGone`; `pacer`: of large answers on their way out; `budget`: of the bodies of
+        requests."""
         super().__init__(limits, report, counts)
-        self.pacer = pacer
+        self.pacer, self.budget = pacer, budget
+        self.without_room = 0  # requests refused since their bodies found no room in memory
         self.requests: dict[int, ClientRequest] = {}
 
     def listen(self, address: Address) -> None:
@@ -75,13 +91,15 @@
         except NO_REQUEST as error:
             refusal: StreamResponse = self._refused(error)
             return refusal
+        except NoRoomError as error:
+            return await self._refuse_unread(request, error)
         connection: Any = request.protocol
         if connection.transport is None or ended_by_peer(connection.transport):
             connection.drop()
             await asyncio.get_running_loop().create_future()  # its end cancels this handler
         answer = await self._answer_of(request, client_request)
-        if self.pacer.rate and len(answer.body) > SMALL_ANSWER:
-            return await self._write_paced(request, answer)
+        if len(answer.body) > (SMALL_ANSWER if self.pacer.rate else SMALL_BODY):
+            return await self._write_in_slices(request, answer)
         response: StreamResponse = self._response(
             answer.status, answer.body, answer.headers, lambda: self.connections.ended(connection)
         )
@@ -98,9 +116,33 @@
         if not path.startswith("/") or not path.isascii() or "#" in path:
             raise Malformed(400, "path")  # it would not go on unchanged
         check_framing(headers, SINGLE_HEADERS)
-        body = await self._body(request)
+        body = await self._read_body(request, int(deadline) / 1000)
         return ClientRequest(id, request.method, headers.get("Host", ""), path, passed_on(request.raw_headers), body)
 
+    async def _read_body(self, request: BaseRequest, patience: float) -> bytes | bytearray:
+        """The whole body, once there is room for it; `patience`: seconds that the client waits. Raises one of NO_REQUEST, or
+        NoRoomError."""
+        if not request.body_exists:
+            return b""
+        await ask_for_body(request)
+        reader = BodyReader(self.budget, self.limits.body, min(MAX_ROOM_WAIT, ROOM_WAIT_FRACTION * patience))
+        try:
+            return await reader.read(request.content.iter_any(), request.content_length)
+        except TooLongError:
+            raise Malformed(413, "body") from None
+
+    async def _refuse_unread(self, request: BaseRequest, error: NoRoomError) -> StreamResponse:
+        """Its body has no room: it was not passed on and never will be."""
+        self.without_room += 1
+        log.info("A request was refused: its body has no room in memory.", why=str(error))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(DROP_TIME):
+                async for _ in request.content.iter_any():
+                    pass
+        response: StreamResponse = self._response(503, headers={"Retry-After": RETRY_AFTER})
+        response.force_close()
+        return response
+
     async def _answer_of(self, request: BaseRequest, client_request: ClientRequest) -> ClientAnswer:
         """Reports the request and waits for its answer."""
         self.number = number = self.number + 1
@@ -122,8 +164,9 @@
             self.waiting.pop(number, None)
             self.requests.pop(number, None)
 
-    async def _write_paced(self, request: BaseRequest, answer: ClientAnswer) -> StreamResponse:
-        """Writes a large answer so that small ones come between its chunks on a narrow link."""
+    async def _write_in_slices(self, request: BaseRequest, answer: ClientAnswer) -> StreamResponse:
+        """Writes a large answer without a second copy that waits to be written, and so that small ones come between its slices on a
+        narrow link."""
         loop = asyncio.get_running_loop()
         connection: Any = request.protocol
         response = StreamResponse(status=answer.status, headers=answer.headers)
@@ -131,10 +174,11 @@
         if self.stopping or connection.behind:
             response.force_close()
         await response.prepare(request)
-        for begin in range(0, len(answer.body), CHUNK):
-            if begin:  # and no delay after the last: the client may send its next request at once
-                await asyncio.sleep(self.pacer.delay_after(loop.time(), CHUNK))
-            await response.write(answer.body[begin : begin + CHUNK])
+        size, view = CHUNK if self.pacer.rate else SLICE, memoryview(answer.body)
+        for begin in range(0, len(view), size):
+            if begin and self.pacer.rate:  # and no delay after the last: the client may send its next request at once
+                await asyncio.sleep(self.pacer.delay_after(loop.time(), size))
+            await response.write(view[begin : begin + size])
         await response.write_eof()
         self.connections.ended(connection)
         if connection.behind:
@@ -149,7 +193,9 @@
         if limits != self.limits:
             self.limits = self.connections.limits = limits
 
-    def answer(self, number: int, status: int, body: bytes = b"", headers: Mapping[str, str] | None = None) -> None:
+    def answer(
+        self, number: int, status: int, body: bytes | bytearray = b"", headers: Mapping[str, str] | None = None
+    ) -> None:
         """Answers the request of that number, if its client is still there."""
         waiting = self.waiting.get(number)
         if waiting is not None and not waiting.done():
--- a/fernyard/cluster/data_plane/metrics.py
+++ b/fernyard/cluster/data_plane/metrics.py
@@ -48,8 +48,9 @@
         self.longest_abandoned = max(self.longest_abandoned, seconds)
 
 
-def render(metrics: RouterMetrics, in_flight: int) -> bytes:
-    """All counts as text. `in_flight`: attempts under way now."""
+def render(metrics: RouterMetrics, in_flight: int, without_room: int = 0) -> bytes:
+    """All counts as text. `in_flight`: attempts under way now; `without_room`: requests refused since their bodies found no room in
+    memory."""
     lines = [
         f"{PREFIX}attempts_total {metrics.forwarded}",
         f"{PREFIX}attempts_in_flight {in_flight}",
@@ -57,6 +58,7 @@
         f"{PREFIX}abandoned_seconds_total {metrics.abandoned_seconds:.3f}",
         f"{PREFIX}abandoned_seconds_max {metrics.longest_abandoned:.3f}",
         f"{PREFIX}unreadable_plans_total {metrics.unreadable_plans}",
+        f"{PREFIX}bodies_without_room_total {without_room}",
     ]
     lines += _labelled("clients_gone_total", "stage", metrics.clients_gone)
     lines += _labelled("abandoned_total", "end", metrics.abandoned)
--- a/fernyard/cluster/data_plane/process.py
+++ b/fernyard/cluster/data_plane/process.py
@@ -32,7 +32,7 @@
 from .control_plane_directory import ControlPlaneDirectory
 from .counter import CounterTable
 from .events import ConfigurationChanged, CountAnswered, RegistryChanged, RouterEvent, Tick
-from .limits import ACCEPT_AFTER_STOP, BYTES_PER_MBIT, limits
+from .limits import ACCEPT_AFTER_STOP, BYTES_PER_MBIT, answer_budget, limits, request_budget
 from .listener import ClientListener
 from .metrics import METRICS_PATH, METRICS_PORT, render
 from .pacing import Pacer
@@ -64,8 +64,9 @@
         seeds = [ip for ip, _ in settings.seeds]
         self.control_planes = ControlPlaneDirectory(self.now(), settings.node, seeds, self.router.random)
         link = settings.link_mbps * BYTES_PER_MBIT if self.limits.buffer else 0.0
-        self.listener = ClientListener(self.limits, self.handle_event, self.counts, Pacer(link))
-        self.workers = WorkerConnections(self.limits, self.handle_event, Pacer(link))
+        bodies, answers = request_budget(settings), answer_budget(settings)
+        self.listener = ClientListener(self.limits, self.handle_event, self.counts, Pacer(link), bodies)
+        self.workers = WorkerConnections(self.limits, self.handle_event, Pacer(link), answers)
         self.datagrams = Datagrams(self._on_message)
         self.updates = UpdateClient(settings.ports[0])
         self._reread_at = self.now() + REREAD_INTERVAL
@@ -331,7 +332,8 @@
     async def _handle_metrics(self, request: BaseRequest) -> HttpAnswer:
         if request.path != METRICS_PATH:
             return 404, b"", None
-        return 200, render(self.router.metrics, len(self.workers.out)), {"Content-Type": "text/plain; version=0.0.4"}
+        counts = render(self.router.metrics, len(self.workers.out), self.listener.without_room)
+        return 200, counts, {"Content-Type": "text/plain; version=0.0.4"}
 
     async def _handle_ready(self, request: BaseRequest) -> HttpAnswer:
         if request.path != "/-/readyz":
--- a/fernyard/cluster/data_plane/router.py
+++ b/fernyard/cluster/data_plane/router.py
@@ -75,7 +75,7 @@
 
     def step(self, now: float, event: RouterEvent) -> list[Command]:
         """Handles one event; returns the commands to execute, in order."""
-        self.now, self._commands = now, []
+        self.now = now
         match event:
             case Outcome():
                 self._on_outcome(event)
@@ -93,7 +93,8 @@
                 self._on_registry_changed(event.update)
             case _:
                 assert_never(event)
-        return self._commands
+        commands, self._commands = self._commands, []  # not kept: bodies in them would take memory until the next event
+        return commands
 
     def next_at(self) -> float | None:
         """When `Tick` is due, or None."""
--- a/fernyard/cluster/data_plane/worker_connections.py
+++ b/fernyard/cluster/data_plane/worker_connections.py
@@ -2,14 +2,16 @@
 are read (PROTOCOL.md)."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterable, AsyncIterator, Callable
 
-from aiohttp import ClientResponse
+from aiohttp import ClientResponse, hdrs
 from multidict import CIMultiDict
 
 from ...interface import End
 from ...settings.limits import Limits
 from ...workers import Outcome, WorkerPool
+from ..common.bodies import BodyPayload, BodyReader, TooLongError
+from ..common.memory_budget import MemoryBudget, NoRoomError
 from .listener import ClientRequest
 from .pacing import CHUNK, SMALL_ANSWER, Pacer
 
@@ -27,10 +29,11 @@
 
     ID_HEADER = ATTEMPT_ID  # type: ignore[assignment]  # the base, which is not annotated yet, has none
 
-    def __init__(self, limits: Limits, report: Callable[[Outcome], None], pacer: Pacer) -> None:
-        """`pacer`: of large answers on their way in."""
+    def __init__(self, limits: Limits, report: Callable[[Outcome], None], pacer: Pacer, budget: MemoryBudget) -> None:
+        """`pacer`: of large answers on their way in; `budget`: of the bodies of answers."""
         super().__init__(limits, report)
         self.pacer = pacer
+        self.budget = budget
 
     def cancel(self, number: int, attempt: int, only_unsent: bool) -> None:
         """Gives an attempt up and resets its connection, so that nothing of it is written any more. `only_unsent`: not if a
@@ -50,19 +53,34 @@
         while self.out and loop.time() < until:
             await asyncio.sleep(FINISH_POLL)
 
-    async def _body(self, answer: ClientResponse) -> bytes | None:
+    @staticmethod
+    def _payload(req: ClientRequest) -> BodyPayload | None:
+        return BodyPayload(req.body) if req.body else None
+
+    async def _body(self, answer: ClientResponse) -> bytes | bytearray | None:
+        """The whole body; None where it is longer than may be. It waits unread, which holds its worker up, until there is room for it,
+        the attempt's end at the latest."""
+        has_none = answer.method == hdrs.METH_HEAD or answer.status in NO_BODY_STATUSES
+        length = 0 if has_none else answer.content_length
+        try:
+            return await BodyReader(self.budget, self.limits.answer_body).read(self._pieces(answer, length), length)
+        except (TooLongError, NoRoomError):
+            answer.close()
+            return None
+
+    def _pieces(self, answer: ClientResponse, length: int | None) -> AsyncIterable[bytes]:
+        if self.pacer.rate and (length or 0) > SMALL_ANSWER:
+            return self._paced_pieces(answer)
+        return answer.content.iter_any()
+
+    async def _paced_pieces(self, answer: ClientResponse) -> AsyncIterator[bytes]:
         """A large one is read no faster than its fraction of a narrow link: what is not read holds its worker up."""
-        length = answer.content_length or 0
-        if not self.pacer.rate or not SMALL_ANSWER < length <= self.limits.answer_body:
-            body: bytes | None = await super()._body(answer)
-            return body
-        loop, chunks = asyncio.get_running_loop(), []
+        loop = asyncio.get_running_loop()
         while not answer.content.at_eof():
             chunk = await answer.content.read(CHUNK)
-            chunks.append(chunk)
+            yield chunk
             if not answer.content.at_eof():
                 await asyncio.sleep(self.pacer.delay_after(loop.time(), len(chunk)))
-        return b"".join(chunks)
 
     def _headers(self, req: ClientRequest, worker: str, address: str, limit: int) -> CIMultiDict[str]:
         """`limit`: tenths of a millisecond until the attempt is given up."""
--- a/fernyard/workers/pool.py
+++ b/fernyard/workers/pool.py
@@ -106,7 +106,7 @@
                 req.method,
                 URL.build(scheme="http", authority=authority, path=req.path, encoded=True),
                 headers=headers,
-                data=req.body or None,
+                data=self._payload(req),
                 allow_redirects=False,
             ) as answer:
                 body = await self._body(answer)
@@ -125,6 +125,11 @@
             log.exception("dispatch_fault", address=address)
             self._over(number, dispatch, End.RESET)
 
+    @staticmethod
+    def _payload(req):
+        """What is written as the body; nothing for none."""
+        return req.body or None
+
     def _headers(self, req, worker, address, limit):
         """The headers that a worker gets."""
         headers = CIMultiDict(req.headers)
--- a/tests/cluster/gateway.py
+++ b/tests/cluster/gateway.py
@@ -71,9 +71,10 @@
 class Gateway:
     """`ask` sends one request on a connection of its own or on a kept one."""
 
-    def __init__(self, workers, limits):
+    def __init__(self, workers, limits, memory_mb=300.0):
         self.limits = limits
-        told = settings.parse({**SETTINGS_FIELDS, "caps": {"linkMbps": 1000.0, "maxFds": 1000}, "zones": {"z": "r"}})
+        caps = {"linkMbps": 1000.0, "maxFds": 1000, "memMb": memory_mb}
+        told = settings.parse({**SETTINGS_FIELDS, "caps": caps, "zones": {"z": "r"}})
         self.plane, self.port, self.workers, self.number = DataPlane(told), free_port(), workers, 0
 
     def configure(self, version=5, **fields):
@@ -118,10 +119,10 @@
 
 
 @asynccontextmanager
-async def gateway(*scripts, **limits):
+async def gateway(*scripts, memory_mb=300.0, **limits):
     """A gateway that serves, with a worker for each script; `limits`: those of connections to workers that differ."""
     workers = [await StandInWorker(script).open() for script in scripts]
-    made = Gateway(workers, limits)
+    made = Gateway(workers, limits, memory_mb)
     made.start()
     try:
         yield made
--- a/tests/cluster/test_client_gone.py
+++ b/tests/cluster/test_client_gone.py
@@ -10,6 +10,7 @@
 from testtools.matchers import Equals
 
 from fernyard.clients import connections as client_connections
+from fernyard.cluster.common import bodies
 from fernyard.cluster.common.messages import NO_VERSION, ConfigurationUpdate, RegistryUpdate, Total, Worker
 from fernyard.cluster.data_plane import (
     commands,
@@ -216,8 +217,14 @@
         return made.plane.router.metrics.forwarded, made.plane.listener.number
 
 
-async def leaves_during_its_upload():
+async def leaves_during_its_upload(slice_size=bodies.SLICE):
+    """Does the worker lack a part? `slice_size`: bytes that are given to the connection at once, where they wait to be written."""
     slow = SlowReader()
+    with mock.patch.object(bodies, "SLICE", slice_size):
+        return await _leaves_during_its_upload(slow)
+
+
+async def _leaves_during_its_upload(slow):
     server = await asyncio.start_server(slow.serve, HOST, 0)
     async with gateway() as made:
         register(made, server.sockets[0].getsockname()[1])
@@ -280,8 +287,9 @@
         self.assertThat(asyncio.run(leaves_before_it_is_complete()), Equals((0, 0)))
 
     def test_during_its_upload(self):
-        """What was not written yet is dropped: the worker never gets the complete request."""
-        self.assertTrue(asyncio.run(leaves_during_its_upload()))
+        """What was not written yet is dropped: the worker never gets the complete request, in one slice or in many."""
+        for slice_size in (bodies.SLICE, len(LARGE)):
+            self.assertTrue(asyncio.run(leaves_during_its_upload(slice_size)), slice_size)
 
     def test_a_hedged_request_that_was_answered(self):
         self.assertThat(asyncio.run(answered_while_a_hedge_is_out()), Equals((200, b"body of a", [[], ["a"]])))
@@ -293,7 +301,7 @@
         guards = {
             "an upload is reset, not closed": (
                 lambda: mock.patch.object(worker_connections.WorkerConnections, "cancel", _close_only),
-                lambda: self.assertTrue(asyncio.run(leaves_during_its_upload())),
+                lambda: self.assertTrue(asyncio.run(leaves_during_its_upload(len(LARGE)))),
             ),
             "a client that left is seen before its request is forwarded": (
                 lambda: mock.patch.object(listener_module, "ended_by_peer", lambda transport: False),
--- a/tests/cluster/test_listener.py
+++ b/tests/cluster/test_listener.py
@@ -8,7 +8,7 @@
 
 from fernyard.cluster.common import settings
 from fernyard.cluster.data_plane.events import RequestArrived
-from fernyard.cluster.data_plane.limits import limits
+from fernyard.cluster.data_plane.limits import limits, request_budget
 from fernyard.cluster.data_plane.listener import ClientListener
 from fernyard.cluster.data_plane.pacing import LINK_FRACTION, SMALL_ANSWER, Pacer
 from fernyard.lab.runner import free_port
@@ -42,7 +42,10 @@
                         event.number, 200, body if event.path == "/large" else body[:SMALL_ANSWER], {"Worker-Seal": "x"}
                     )
 
-            front, port = ClientListener(bounds, report, Counts(), Pacer(12_500_000.0)), free_port()
+            front, port = (
+                ClientListener(bounds, report, Counts(), Pacer(12_500_000.0), request_budget(told)),
+                free_port(),
+            )
             front.listen(("127.0.0.1", port))
             got = []
             async with aiohttp.ClientSession(
--- a/tests/cluster/test_metrics.py
+++ b/tests/cluster/test_metrics.py
@@ -34,6 +34,7 @@
                     "abandoned_seconds_total 0.250",
                     "abandoned_seconds_max 0.250",
                     "unreadable_plans_total 0",
+                    "bodies_without_room_total 0",
                     'abandoned_total{end="cancelled"} 1',
                 ]
             ),
