Control plane: an order that waited in the kernel for a busy process is as old as it is

Cause: a new connection's age counted from when the process took it in; one that stood still for less than a second took an order that had waited since for new. Change: TCP_INFO tells how long the connection, or the first bytes on it, waited.

--- a/fernyard/cluster/common/transport.py
+++ b/fernyard/cluster/common/transport.py
@@ -12,7 +12,7 @@
 from aiohttp.web_server import Server
 
 from ...clients.connections import Written
-from ...sockets import handshake_time
+from ...sockets import open_for
 from . import messages
 from .logs import ComponentLogger
 from .messages import encode
@@ -84,7 +84,7 @@
         """Called by asyncio once the connection is taken in."""
         super().connection_made(transport)
         self._is_serving = False
-        self._spoke_at = self.sent_after = self._loop.time() - handshake_time(transport)
+        self._spoke_at = self.sent_after = self._loop.time() - open_for(transport)
 
     def data_received(self, data: bytes) -> None:
         """Called by asyncio with bytes of the caller. Those that came before the last answer was out are as old as what was
--- a/fernyard/sockets.py
+++ b/fernyard/sockets.py
@@ -5,8 +5,9 @@
 import struct
 from asyncio import BaseTransport
 
-# Linux, `struct tcp_info`: offsets in bytes of the smoothed round-trip time (microseconds) and of the packets sent again.
-TCP_INFO_SIZE, TCP_INFO_RTT, TCP_INFO_TOTAL_RETRANSMITS = 104, 68, 100
+# Linux, `struct tcp_info`: bytes that are read of it, and where in it stand the milliseconds since data came last or, before any, since
+# the handshake was over; the smoothed round-trip time (microseconds); the packets sent again.
+TCP_INFO_SIZE, TCP_INFO_LAST_DATA, TCP_INFO_RTT, TCP_INFO_TOTAL_RETRANSMITS = 104, 52, 68, 100
 
 
 def bound(made, size):
@@ -33,13 +34,15 @@
     return bool(waiting.poll(0))
 
 
-def handshake_time(transport: BaseTransport) -> float:
-    """Seconds that the handshake of a connection just taken in took; infinite where its packets were sent again, so that the other
-    side may have taken it for whole long before; 0 where the system does not tell."""
+def open_for(transport: BaseTransport) -> float:
+    """Seconds for which a connection just taken in has been open to the other side: those of the handshake, and those for which it or
+    what came on it waited for this process. Infinite where packets of the handshake were sent again, as the other side may have taken
+    it for open long before; 0 where the system does not tell."""
     try:
         told = transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
-        (sent_again,) = struct.unpack_from("=I", told, TCP_INFO_TOTAL_RETRANSMITS)
+        (waited,) = struct.unpack_from("=I", told, TCP_INFO_LAST_DATA)
         (round_trip,) = struct.unpack_from("=I", told, TCP_INFO_RTT)
+        (sent_again,) = struct.unpack_from("=I", told, TCP_INFO_TOTAL_RETRANSMITS)
     except (AttributeError, OSError, struct.error):
         return 0.0
-    return float("inf") if sent_again else round_trip / 1e6
+    return float("inf") if sent_again else waited / 1e3 + round_trip / 1e6
--- a/tests/cluster/test_abandoned_calls.py
+++ b/tests/cluster/test_abandoned_calls.py
@@ -2,8 +2,11 @@
 that it must not begin here any more."""
 
 import asyncio
+import math
 import socket
+import struct
 import tempfile
+import time
 from unittest import mock
 
 import attrs
@@ -15,6 +18,7 @@
 from fernyard.cluster.control_plane.call_table import Bind
 from fernyard.cluster.control_plane.operator_calls import CALL_TIMEOUT, EVACUATION_DELAY, MAX_ORDER_AGE, SEND_AGAIN
 from fernyard.cluster.control_plane.process import ControlPlane
+from fernyard.sockets import TCP_INFO_LAST_DATA, TCP_INFO_RTT, TCP_INFO_SIZE, TCP_INFO_TOTAL_RETRANSMITS, open_for
 
 from .clocks import ShiftedLoop
 from .control_planes import ControlPlanes
@@ -23,6 +27,7 @@
 HOST = "127.0.0.1"
 LIMIT = 20.0  # seconds after which the test gives up
 NEVER = 3600.0
+CLOCK_STEP = 0.02  # seconds, of the kernel's clock for connections
 ORDER = b"POST /-/evacuate/z1 HTTP/1.1\r\nHost: operator\r\nContent-Length: 0\r\n\r\n"
 STATUS = b"GET /-/status HTTP/1.1\r\nHost: operator\r\n\r\n"
 TICKET = 7
@@ -184,3 +189,28 @@
         planes.run(SYNC)
         self.assertThat(answer.status, Equals(503))
         self.assertThat(planes.state("a").evacuated_zones, Equals([]))
+
+    def test_a_new_connection_proves_no_less_than_its_handshake_and_its_wait(self):
+        """Guards against an order that waited in the kernel, or behind a handshake that a cut held up, and passes for new."""
+        told = bytearray(TCP_INFO_SIZE)
+        struct.pack_into("=I", told, TCP_INFO_LAST_DATA, 700)
+        struct.pack_into("=I", told, TCP_INFO_RTT, 110_000)
+        transport = mock.Mock()
+        transport.get_extra_info.return_value.getsockopt.side_effect = lambda *_: bytes(told)
+        self.assertThat(round(open_for(transport), 6), Equals(0.81))
+        struct.pack_into("=I", told, TCP_INFO_TOTAL_RETRANSMITS, 1)
+        self.assertThat(open_for(transport), Equals(math.inf))
+        transport.get_extra_info.return_value.getsockopt.side_effect = OSError
+        self.assertThat(open_for(transport), Equals(0.0))
+
+    def test_the_system_tells_how_long_a_new_connection_is_open(self):
+        """Of one on loopback, just taken in: less than the time since it was asked for."""
+        began = time.monotonic()
+        with socket.create_server((HOST, 0)) as server, socket.create_connection(server.getsockname()) as caller:
+            taken, _ = server.accept()
+            with taken:
+                caller.sendall(ORDER)
+                transport = mock.Mock()
+                transport.get_extra_info.return_value = taken
+                seconds = open_for(transport)
+        self.assertTrue(0.0 <= seconds <= time.monotonic() - began + CLOCK_STEP, seconds)
