Control plane, soak: two constants stand under their comments

Two constants of this issue had been wrapped round comments that were too long for their lines. The limit of calls that the soak's operator makes is named for what it counts.

--- a/fernyard/cluster/control_plane/operator_calls.py
+++ b/fernyard/cluster/control_plane/operator_calls.py
@@ -29,9 +29,8 @@
 # with the close of a caller that has given up, or one round trip before it.
 EVACUATION_DELAY = 0.1
 CALL_TIMEOUT = 1.0  # that a caller waits at most: an older call is not begun any more
-MAX_ORDER_AGE = (
-    0.5  # that may have passed since an evacuation was sent: what is left of CALL_TIMEOUT is for confirming its zone
-)
+# That may have passed since an evacuation was sent: what is left of CALL_TIMEOUT is for confirming its zone.
+MAX_ORDER_AGE = 0.5
 SEND_AGAIN = 307  # to the same address
 
 
--- a/fernyard/lab/soak/operator.py
+++ b/fernyard/lab/soak/operator.py
@@ -13,10 +13,8 @@
 from .workers import SERVICES
 
 CALL_LIMIT = 1.0
-REDIRECT, MAX_REDIRECTS = (
-    307,
-    3,
-)  # a status; calls that are made in all where it is answered: control planes name themselves
+REDIRECT = 307  # a status, by which a control plane asks for the call again: it names itself
+MAX_CALLS = 3  # that are made in all where that is answered
 BACKOFFS = (0.1, 0.2, 0.4, 0.8, 1.0, 1.0)  # between the tries of one call
 REVOKED_KEY = "key-that-is-taken-away"
 FIRST_VERSION, VERSION_STEP = 3, 2
@@ -182,7 +180,7 @@
     async def _call(self, control: ClusterProcess, method: str, path: str, body: bytes) -> Answer | None:
         """The answer; one that asks for the call again is followed, as PROTOCOL.md says of callers."""
         try:
-            for _ in range(MAX_REDIRECTS):
+            for _ in range(MAX_CALLS):
                 answer = await asyncio.wait_for(self._exchange(control, method, path, body), CALL_LIMIT)
                 if answer.status != REDIRECT:
                     break
